Find a generation that was published before the daemons knew each other

Cause: a daemon that knows no other one yet owns every key itself, and a lookup asked only the owner as the asking daemon saw it. The scenario generation-resent-elsewhere sends its first request before the daemons have met, so the second daemon found nothing and started a second run. Lookups of a daemon that has just started also missed the limit of 100 ms.

Entries now move to their new owner when the members change, a lookup goes to every live daemon for 10 s after a change, and may take 500 ms.

Ruled out: the engine counting twice (one request in each run that passed). Seen along the way: the log of a scenario's daemons was empty, because the operators' tool's logging configuration stood first on the class path.

--- a/core/src/main/java/org/galenapost/core/directory/GenerationDirectory.java
+++ b/core/src/main/java/org/galenapost/core/directory/GenerationDirectory.java
@@ -6,9 +6,11 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.galenapost.core.hashing.Rendezvous;
 import org.galenapost.core.peer.PeerBus;
@@ -18,29 +20,41 @@
 /**
  * Finds a generation that already runs, whichever daemon started it.
  *
- * <p>Each key is owned by one of the live daemons. Daemons that see different members ask different
- * owners and find nothing, which is safe. Safe for use by several threads.
+ * <p>Each key is owned by one of the live daemons. While the set of live daemons has changed a
+ * moment ago, daemons may disagree on the owner: a query that the owner cannot answer then goes to
+ * every live daemon, and entries move to their new owner. Daemons that do not know each other at
+ * all find nothing, which is safe. Safe for use by several threads.
  */
 public final class GenerationDirectory implements RunningGenerations {
 
-  private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(100);
+  /** A daemon that has just started may take several hundred ms for its first answer. */
+  private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(500);
+
+  private static final Duration MEMBERS_CHECK_PERIOD = Duration.ofMillis(250);
+
+  /** Several heartbeat periods, after which live daemons agree on the members. */
+  private static final Duration SETTLING_TIME = Duration.ofSeconds(10);
+
   private static final Duration MEMORY = Duration.ofMinutes(30);
   private static final int MAX_ENTRIES = 100_000;
 
   private final String selfId;
   private final PeerBus peers;
   private final Scheduler scheduler;
+  private final MonotonicClock clock;
   private final Cache<DirectoryKey, DirectoryEntry> entries;
-  private final Map<Long, CompletableFuture<Optional<DirectoryEntry>>> queries =
-      new ConcurrentHashMap<>();
+  private final Cache<DirectoryKey, DirectoryEntry> ownEntries;
+  private final Map<Long, PendingQuery> queries = new ConcurrentHashMap<>();
   private final AtomicLong lastQueryId = new AtomicLong();
+  private volatile Set<String> lastLiveIds = Set.of();
+  private volatile long membersChangedNanos;
 
   /**
    * Creates an empty directory.
    *
    * @param selfId the id of this daemon
    * @param peers the other daemons
-   * @param scheduler runs the timeouts of queries
+   * @param scheduler runs the timeouts of queries and the checks of the members
    * @param clock elapsed time
    */
   public GenerationDirectory(
@@ -48,27 +62,63 @@
     this.selfId = Objects.requireNonNull(selfId, "selfId");
     this.peers = Objects.requireNonNull(peers, "peers");
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
-    this.entries =
-        Caffeine.newBuilder()
-            .maximumSize(MAX_ENTRIES)
-            .expireAfterWrite(MEMORY)
-            .ticker(clock::nanos)
-            .executor(Runnable::run)
-            .build();
+    this.clock = Objects.requireNonNull(clock, "clock");
+    this.entries = newCache();
+    this.ownEntries = newCache();
+    this.membersChangedNanos = clock.nanos();
+  }
+
+  private Cache<DirectoryKey, DirectoryEntry> newCache() {
+    return Caffeine.newBuilder()
+        .maximumSize(MAX_ENTRIES)
+        .expireAfterWrite(MEMORY)
+        .ticker(clock::nanos)
+        .executor(Runnable::run)
+        .build();
   }
 
-  /** Listens to the other daemons. */
+  /** Listens to the other daemons and follows which of them live. */
   public void start() {
     peers.onMessage(DirectoryPut.class, (sender, put) -> entries.put(put.key(), put.entry()));
     peers.onMessage(DirectoryQuery.class, this::answer);
     peers.onMessage(DirectoryAnswer.class, (sender, answer) -> complete(answer));
+    lastLiveIds = peers.livePeerIds();
+    checkMembersLater();
+  }
+
+  private void checkMembersLater() {
+    scheduler.schedule(
+        MEMBERS_CHECK_PERIOD,
+        () -> {
+          checkMembers();
+          checkMembersLater();
+        });
+  }
+
+  private void checkMembers() {
+    Set<String> liveIds = peers.livePeerIds();
+    if (liveIds.equals(lastLiveIds)) {
+      return;
+    }
+    Set<String> before = lastLiveIds;
+    lastLiveIds = Set.copyOf(liveIds);
+    membersChangedNanos = clock.nanos();
+    ownEntries
+        .asMap()
+        .forEach(
+            (key, entry) -> {
+              if (!owner(key, before).equals(owner(key, lastLiveIds))) {
+                publish(key, entry);
+              }
+            });
   }
 
   /** {@inheritDoc} Kept here as well as at the owner of the key. */
   @Override
   public void publish(DirectoryKey key, DirectoryEntry entry) {
     entries.put(key, entry);
-    String owner = owner(key);
+    ownEntries.put(key, entry);
+    String owner = owner(key, peers.livePeerIds());
     if (!owner.equals(selfId)) {
       peers.send(owner, new DirectoryPut(key, entry));
     }
@@ -77,22 +127,30 @@
   @Override
   public CompletionStage<Optional<DirectoryEntry>> find(DirectoryKey key) {
     DirectoryEntry known = entries.getIfPresent(key);
-    String owner = owner(key);
-    if (known != null || owner.equals(selfId)) {
-      return CompletableFuture.completedFuture(Optional.ofNullable(known));
+    if (known != null) {
+      return CompletableFuture.completedFuture(Optional.of(known));
     }
-    return ask(owner, key);
+    Set<String> liveIds = peers.livePeerIds();
+    boolean isSettled = clock.since(membersChangedNanos).compareTo(SETTLING_TIME) > 0;
+    String owner = owner(key, liveIds);
+    Set<String> askedIds = isSettled ? Set.of(owner) : liveIds;
+    return askedIds.isEmpty() || askedIds.equals(Set.of(selfId))
+        ? CompletableFuture.completedFuture(Optional.empty())
+        : ask(askedIds, key);
   }
 
-  private CompletionStage<Optional<DirectoryEntry>> ask(String owner, DirectoryKey key) {
+  private CompletionStage<Optional<DirectoryEntry>> ask(Set<String> daemonIds, DirectoryKey key) {
     long queryId = lastQueryId.incrementAndGet();
-    CompletableFuture<Optional<DirectoryEntry>> answer = new CompletableFuture<>();
-    queries.put(queryId, answer);
+    PendingQuery query = new PendingQuery(daemonIds.size());
+    queries.put(queryId, query);
     Scheduler.Cancellable timeout =
-        scheduler.schedule(
-            ANSWER_TIMEOUT, () -> complete(new DirectoryAnswer(queryId, Optional.empty())));
-    peers.send(owner, new DirectoryQuery(queryId, key));
-    return answer.whenComplete((entry, error) -> timeout.cancel());
+        scheduler.schedule(ANSWER_TIMEOUT, () -> query.answer.complete(Optional.empty()));
+    daemonIds.forEach(id -> peers.send(id, new DirectoryQuery(queryId, key)));
+    return query.answer.whenComplete(
+        (entry, error) -> {
+          queries.remove(queryId);
+          timeout.cancel();
+        });
   }
 
   private void answer(String sender, DirectoryQuery query) {
@@ -101,14 +159,31 @@
   }
 
   private void complete(DirectoryAnswer answer) {
-    CompletableFuture<Optional<DirectoryEntry>> query = queries.remove(answer.queryId());
+    PendingQuery query = queries.get(answer.queryId());
     if (query != null) {
-      query.complete(answer.entry());
+      query.answered(answer.entry());
     }
   }
 
-  private String owner(DirectoryKey key) {
+  private String owner(DirectoryKey key, Set<String> liveIds) {
     String text = key.workspace() + "\n" + key.generationId();
-    return Rendezvous.choose(text, selfId, peers.livePeerIds());
+    return Rendezvous.choose(text, selfId, liveIds);
+  }
+
+  /** Ends with the first entry found, or empty once every daemon asked has answered. */
+  private static final class PendingQuery {
+
+    private final CompletableFuture<Optional<DirectoryEntry>> answer = new CompletableFuture<>();
+    private final AtomicInteger missingAnswers;
+
+    PendingQuery(int askedDaemons) {
+      missingAnswers = new AtomicInteger(askedDaemons);
+    }
+
+    void answered(Optional<DirectoryEntry> entry) {
+      if (entry.isPresent() || missingAnswers.decrementAndGet() == 0) {
+        answer.complete(entry);
+      }
+    }
   }
 }
--- a/scenarios/src/main/java/org/galenapost/scenarios/fleet/ProcessStarter.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/fleet/ProcessStarter.java
@@ -41,7 +41,7 @@
   }
 
   private ManagedProcess start(String name, String program, List<String> arguments) {
-    List<String> command = JavaCommand.of(program, arguments);
+    List<String> command = JavaCommand.withLog(program, arguments);
     return ManagedProcess.start(name, command, folder.resolve(name + ".log"));
   }
 
--- a/scenarios/src/main/java/org/galenapost/scenarios/process/JavaCommand.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/process/JavaCommand.java
@@ -9,6 +9,8 @@
 
   private static final String HEAP = "-Xmx128m";
 
+  private static final String LOG_CONFIGURATION = "-Dlog4j2.configurationFile=log4j2.xml";
+
   private JavaCommand() {}
 
   /**
@@ -18,12 +20,29 @@
    * @param arguments its arguments
    */
   public static List<String> of(String mainClass, List<String> arguments) {
+    return of(List.of(), mainClass, arguments);
+  }
+
+  /**
+   * Returns the command line for a main class that writes its log to standard error, whatever
+   * logging configuration of another module stands earlier on the class path.
+   *
+   * @param mainClass the main class
+   * @param arguments its arguments
+   */
+  public static List<String> withLog(String mainClass, List<String> arguments) {
+    return of(List.of(LOG_CONFIGURATION), mainClass, arguments);
+  }
+
+  private static List<String> of(
+      List<String> jvmOptions, String mainClass, List<String> arguments) {
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.add(HEAP);
     command.add("-XX:+UseSerialGC");
     command.add("-XX:TieredStopAtLevel=1");
     command.add("-Xshare:auto");
+    command.addAll(jvmOptions);
     command.add("-cp");
     command.add(classPath());
     command.add(mainClass);
