--- a/core/src/main/java/org/galenapost/core/configuration/ConfigurationDocuments.java
+++ b/core/src/main/java/org/galenapost/core/configuration/ConfigurationDocuments.java
@@ -44,6 +44,11 @@
           case SERVER -> server(name, json);
           case MODEL -> model(name, json);
           case PLACEMENT -> placement(name, json);
+          case GATEWAY, INSTANCE ->
+              Either.left(
+                  List.of(
+                      new ConfigurationFault(
+                          "kind", "a kind that operators write here", kind.wireName())));
         };
     return result.isLeft() ? result.getLeft() : List.of();
   }
--- a/core/src/main/java/org/galenapost/core/configuration/ConfigurationExchange.java
+++ b/core/src/main/java/org/galenapost/core/configuration/ConfigurationExchange.java
@@ -14,20 +14,24 @@
  */
 final class ConfigurationExchange {
 
-  private static final Duration PULL_PERIOD = Duration.ofSeconds(2);
-
   private final ConfigurationHolder state;
   private final PeerBus bus;
   private final Scheduler scheduler;
   private final RandomSource random;
+  private final Duration pullPeriod;
   private volatile boolean isRunning;
 
   ConfigurationExchange(
-      ConfigurationHolder state, PeerBus bus, Scheduler scheduler, RandomSource random) {
+      ConfigurationHolder state,
+      PeerBus bus,
+      Scheduler scheduler,
+      RandomSource random,
+      Duration pullPeriod) {
     this.state = state;
     this.bus = bus;
     this.scheduler = scheduler;
     this.random = random;
+    this.pullPeriod = pullPeriod;
     bus.onMessage(ConfigurationMessage.Push.class, (sender, push) -> state.merge(push.record()));
     bus.onMessage(
         ConfigurationMessage.Update.class, (sender, update) -> state.merge(update.update()));
@@ -50,7 +54,7 @@
   }
 
   private void scheduleNextPull() {
-    scheduler.schedule(random.jitter(PULL_PERIOD), this::pullFromOnePeer);
+    scheduler.schedule(random.jitter(pullPeriod), this::pullFromOnePeer);
   }
 
   private void pullFromOnePeer() {
@@ -67,7 +71,8 @@
 
   private void answerPull(String sender, ConfigurationMessage.Pull pull) {
     for (KindRevision asked : pull.revisions()) {
-      if (state.completeRevision(asked.kind()) == KindState.NOTHING_SEEN) {
+      boolean isHeld = state.kinds().contains(asked.kind());
+      if (!isHeld || state.completeRevision(asked.kind()) == KindState.NOTHING_SEEN) {
         continue;
       }
       KindUpdate update = state.since(asked.kind(), asked.revision());
--- a/core/src/main/java/org/galenapost/core/configuration/ConfigurationFollower.java
+++ b/core/src/main/java/org/galenapost/core/configuration/ConfigurationFollower.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.galenapost.core.peer.PeerBus;
 import org.galenapost.core.platform.ObjectStore;
+import org.galenapost.core.platform.PlatformReach;
 import org.galenapost.core.time.RandomSource;
 import org.galenapost.core.time.Scheduler;
 
@@ -16,6 +17,7 @@
  */
 public final class ConfigurationFollower {
 
+  private final Set<ConfigurationKind> followedKinds;
   private final List<KindWatch> watches = new ArrayList<>();
   private final ConfigurationExchange exchange;
   private final PeerColdStart coldStart;
@@ -23,7 +25,7 @@
   private volatile boolean isReady;
 
   /**
-   * Creates a follower.
+   * Creates a follower with the usual settings that tells nobody whether the platform answers.
    *
    * @param state the state to keep up to date
    * @param store the platform's object API
@@ -39,11 +41,43 @@
       Scheduler scheduler,
       RandomSource random,
       Duration watchWait) {
-    for (ConfigurationKind kind : ConfigurationKind.values()) {
+    this(
+        state,
+        store,
+        bus,
+        scheduler,
+        random,
+        FollowSettings.withWatchWait(watchWait),
+        new PlatformReach(() -> 0, isReached -> {}));
+  }
+
+  /**
+   * Creates a follower.
+   *
+   * @param state the state to keep up to date
+   * @param store the platform's object API
+   * @param bus carries messages to the peers
+   * @param scheduler runs retries and rounds
+   * @param random spreads retries
+   * @param settings how often and how long it asks
+   * @param reach told whether the platform answers
+   */
+  public ConfigurationFollower(
+      ConfigurationHolder state,
+      ObjectStore store,
+      PeerBus bus,
+      Scheduler scheduler,
+      RandomSource random,
+      FollowSettings settings,
+      PlatformReach reach) {
+    this.followedKinds = state.kinds();
+    for (ConfigurationKind kind : followedKinds) {
+      KindCalls calls = new KindCalls(kind, store, settings.watchWait(), reach);
       watches.add(
-          new KindWatch(kind, state, store, scheduler, random, watchWait, () -> markListed(kind)));
+          new KindWatch(
+              calls, state, scheduler, random, settings.maxBackoff(), () -> markListed(kind)));
     }
-    exchange = new ConfigurationExchange(state, bus, scheduler, random);
+    exchange = new ConfigurationExchange(state, bus, scheduler, random, settings.pullPeriod());
     coldStart = new PeerColdStart(state, bus, scheduler, () -> isReady = true);
   }
 
@@ -76,7 +110,7 @@
   private void markListed(ConfigurationKind kind) {
     synchronized (listedKinds) {
       listedKinds.add(kind);
-      if (listedKinds.size() < ConfigurationKind.values().length) {
+      if (listedKinds.size() < followedKinds.size()) {
         return;
       }
     }
--- a/core/src/main/java/org/galenapost/core/configuration/ConfigurationHolder.java
+++ b/core/src/main/java/org/galenapost/core/configuration/ConfigurationHolder.java
@@ -1,13 +1,18 @@
 package org.galenapost.core.configuration;
 
-import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /** Holds the configuration objects in force at this daemon. */
 public interface ConfigurationHolder {
 
+  /** Returns the kinds that are held. */
+  default Set<ConfigurationKind> kinds() {
+    return ConfigurationKind.COMPLETION_KINDS;
+  }
+
   /** Registers a listener that is told of every change, outside any lock. */
   void onChange(Consumer<ConfigurationRecord> listener);
 
@@ -37,8 +42,6 @@
 
   /** Returns the revision of each kind. */
   default List<KindRevision> revisions() {
-    return Arrays.stream(ConfigurationKind.values())
-        .map(kind -> new KindRevision(kind, completeRevision(kind)))
-        .toList();
+    return kinds().stream().map(kind -> new KindRevision(kind, completeRevision(kind))).toList();
   }
 }
--- a/core/src/main/java/org/galenapost/core/configuration/ConfigurationKind.java
+++ b/core/src/main/java/org/galenapost/core/configuration/ConfigurationKind.java
@@ -1,15 +1,29 @@
 package org.galenapost.core.configuration;
 
-import java.util.Arrays;
+import java.util.Collections;
+import java.util.EnumSet;
 import java.util.Optional;
+import java.util.Set;
 
-/** Names the kinds of object that operators write. */
+/** Names the kinds of object that daemons follow at the platform. */
 public enum ConfigurationKind {
   PROFILE("profile"),
   WORKSPACE("workspace"),
   SERVER("server"),
   MODEL("model"),
-  PLACEMENT("placement");
+  PLACEMENT("placement"),
+  /** The gateway's routes, services, limits and workspaces, in one object. */
+  GATEWAY("gateway"),
+  /** The running servers behind the gateway, which announce themselves. */
+  INSTANCE("instance");
+
+  /** The kinds of a daemon that serves completions. */
+  public static final Set<ConfigurationKind> COMPLETION_KINDS =
+      Collections.unmodifiableSet(EnumSet.range(PROFILE, PLACEMENT));
+
+  /** The kinds of a daemon that serves as a gateway. */
+  public static final Set<ConfigurationKind> GATEWAY_KINDS =
+      Collections.unmodifiableSet(EnumSet.of(GATEWAY, INSTANCE));
 
   private final String wireName;
 
@@ -22,8 +36,8 @@
     return wireName;
   }
 
-  /** Returns the kind with a name of the platform's object API. */
+  /** Returns the kind that operators write under a name of the platform's object API. */
   public static Optional<ConfigurationKind> of(String wireName) {
-    return Arrays.stream(values()).filter(kind -> kind.wireName.equals(wireName)).findFirst();
+    return COMPLETION_KINDS.stream().filter(kind -> kind.wireName.equals(wireName)).findFirst();
   }
 }
--- a/core/src/main/java/org/galenapost/core/configuration/ConfigurationState.java
+++ b/core/src/main/java/org/galenapost/core/configuration/ConfigurationState.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 
@@ -16,11 +17,19 @@
   private final Map<ConfigurationKind, KindState> kinds = new EnumMap<>(ConfigurationKind.class);
   private final List<Consumer<ConfigurationRecord>> listeners = new CopyOnWriteArrayList<>();
 
-  /** Creates a state that has seen nothing. */
+  /** Creates a state of the kinds that operators write for completions; it has seen nothing. */
   public ConfigurationState() {
-    for (ConfigurationKind kind : ConfigurationKind.values()) {
-      kinds.put(kind, new KindState(kind));
-    }
+    this(ConfigurationKind.COMPLETION_KINDS);
+  }
+
+  /** Creates a state of the given kinds that has seen nothing. */
+  public ConfigurationState(Set<ConfigurationKind> followedKinds) {
+    followedKinds.forEach(kind -> kinds.put(kind, new KindState(kind)));
+  }
+
+  @Override
+  public Set<ConfigurationKind> kinds() {
+    return Set.copyOf(kinds.keySet());
   }
 
   @Override
--- /dev/null
+++ b/core/src/main/java/org/galenapost/core/configuration/KindCalls.java
@@ -0,0 +1,52 @@
+package org.galenapost.core.configuration;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.concurrent.CompletionStage;
+import org.galenapost.core.platform.Changes;
+import org.galenapost.core.platform.Listing;
+import org.galenapost.core.platform.ObjectStore;
+import org.galenapost.core.platform.PlatformError;
+import org.galenapost.core.platform.PlatformReach;
+
+/** The calls that follow one kind; they tell whether the platform can be reached. */
+final class KindCalls {
+
+  private final ConfigurationKind kind;
+  private final ObjectStore store;
+  private final Duration watchWait;
+  private final PlatformReach reach;
+  private int lostAnswers;
+
+  KindCalls(ConfigurationKind kind, ObjectStore store, Duration watchWait, PlatformReach reach) {
+    this.kind = kind;
+    this.store = store;
+    this.watchWait = watchWait;
+    this.reach = reach;
+  }
+
+  ConfigurationKind kind() {
+    return kind;
+  }
+
+  CompletionStage<Either<PlatformError, Listing>> list() {
+    return store.list(kind.wireName()).thenApply(this::noteReach);
+  }
+
+  CompletionStage<Either<PlatformError, Changes>> watch(long sinceRevision) {
+    return store.watch(kind.wireName(), sinceRevision, watchWait).thenApply(this::noteReach);
+  }
+
+  /** A single answer that is lost proves no outage, since the platform may cut a waiting watch. */
+  private synchronized <T> Either<PlatformError, T> noteReach(Either<PlatformError, T> answer) {
+    boolean isLost = answer.isLeft() && answer.getLeft() instanceof PlatformError.AnswerLost;
+    boolean isRefused = answer.isLeft() && answer.getLeft() instanceof PlatformError.Unavailable;
+    lostAnswers = isLost ? lostAnswers + 1 : 0;
+    if (isRefused || lostAnswers > 1) {
+      reach.failed();
+    } else if (!isLost) {
+      reach.answered();
+    }
+    return answer;
+  }
+}
--- a/core/src/main/java/org/galenapost/core/configuration/KindWatch.java
+++ b/core/src/main/java/org/galenapost/core/configuration/KindWatch.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import org.galenapost.core.platform.Changes;
 import org.galenapost.core.platform.Listing;
-import org.galenapost.core.platform.ObjectStore;
 import org.galenapost.core.platform.PlatformError;
 import org.galenapost.core.time.RandomSource;
 import org.galenapost.core.time.Scheduler;
@@ -16,34 +15,32 @@
 
   private static final Duration PAUSE_BETWEEN_WATCHES = Duration.ofMillis(100);
   private static final Duration MIN_BACKOFF = Duration.ofMillis(250);
-  private static final Duration MAX_BACKOFF = Duration.ofSeconds(5);
   private static final int MAX_BACKOFF_DOUBLINGS = 5;
 
   private final ConfigurationKind kind;
+  private final KindCalls calls;
   private final ConfigurationHolder state;
-  private final ObjectStore store;
   private final Scheduler scheduler;
   private final RandomSource random;
-  private final Duration watchWait;
+  private final Duration maxBackoff;
   private final Runnable onListed;
   private volatile boolean isRunning;
   private boolean mustList = true;
   private int failures;
 
   KindWatch(
-      ConfigurationKind kind,
+      KindCalls calls,
       ConfigurationHolder state,
-      ObjectStore store,
       Scheduler scheduler,
       RandomSource random,
-      Duration watchWait,
+      Duration maxBackoff,
       Runnable onListed) {
-    this.kind = kind;
+    this.kind = calls.kind();
+    this.calls = calls;
     this.state = state;
-    this.store = store;
     this.scheduler = scheduler;
     this.random = random;
-    this.watchWait = watchWait;
+    this.maxBackoff = maxBackoff;
     this.onListed = onListed;
   }
 
@@ -61,11 +58,9 @@
       return;
     }
     if (mustList) {
-      store.list(kind.wireName()).thenAccept(this::onListing);
+      calls.list().thenAccept(this::onListing);
     } else {
-      store
-          .watch(kind.wireName(), state.completeRevision(kind), watchWait)
-          .thenAccept(this::onChanges);
+      calls.watch(state.completeRevision(kind)).thenAccept(this::onChanges);
     }
   }
 
@@ -112,7 +107,7 @@
 
   private void retryLater() {
     Duration doubled = MIN_BACKOFF.multipliedBy(1L << Math.min(failures, MAX_BACKOFF_DOUBLINGS));
-    Duration backoff = doubled.compareTo(MAX_BACKOFF) > 0 ? MAX_BACKOFF : doubled;
+    Duration backoff = doubled.compareTo(maxBackoff) > 0 ? maxBackoff : doubled;
     failures++;
     scheduler.schedule(random.jitter(backoff), this::callPlatform);
   }
--- a/core/src/main/java/org/galenapost/core/generation/RequestDigest.java
+++ b/core/src/main/java/org/galenapost/core/generation/RequestDigest.java
@@ -40,6 +40,15 @@
     return ofBytes(Arrays.copyOf(sha.digest(), LENGTH_BYTES));
   }
 
+  /** Returns the digest of a request that is given by its parts in a fixed order. */
+  public static RequestDigest ofParts(byte[]... parts) {
+    MessageDigest sha = sha256();
+    for (byte[] part : parts) {
+      update(sha, part);
+    }
+    return ofBytes(Arrays.copyOf(sha.digest(), LENGTH_BYTES));
+  }
+
   static RequestDigest ofBytes(byte[] bytes) {
     return new RequestDigest(HexFormat.of().formatHex(bytes));
   }
@@ -49,7 +58,10 @@
   }
 
   private static void update(MessageDigest sha, String part) {
-    byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
+    update(sha, part.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static void update(MessageDigest sha, byte[] bytes) {
     sha.update(Integer.toString(bytes.length).getBytes(StandardCharsets.US_ASCII));
     sha.update((byte) ':');
     sha.update(bytes);
--- /dev/null
+++ b/core/src/main/java/org/galenapost/core/route/RouteTable.java
@@ -0,0 +1,84 @@
+package org.galenapost.core.route;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** Finds routes, services and workspaces of one version of the configuration; immutable. */
+public final class RouteTable {
+
+  private static final Comparator<Route> LONGEST_PREFIX_FIRST =
+      Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
+
+  private final GatewayConfiguration configuration;
+  private final Map<String, List<Route>> routesByHost = new HashMap<>();
+  private final Map<String, TargetService> services = new HashMap<>();
+  private final Map<String, GatewayWorkspace> workspacesByKey = new HashMap<>();
+
+  private RouteTable(GatewayConfiguration configuration) {
+    this.configuration = configuration;
+    for (Route route : configuration.routes()) {
+      routesByHost.computeIfAbsent(lowerCase(route.host()), host -> new ArrayList<>()).add(route);
+    }
+    routesByHost.values().forEach(routes -> routes.sort(LONGEST_PREFIX_FIRST));
+    configuration.services().forEach(service -> services.put(service.name(), service));
+    for (GatewayWorkspace workspace : configuration.workspaces()) {
+      workspace.keys().forEach(key -> workspacesByKey.put(key, workspace));
+    }
+  }
+
+  /** Returns the table of a configuration. */
+  public static RouteTable of(GatewayConfiguration configuration) {
+    return new RouteTable(configuration);
+  }
+
+  /** Returns the version of the configuration. */
+  public long version() {
+    return configuration.version();
+  }
+
+  /** Returns what callers may send. */
+  public CallerLimits limits() {
+    return configuration.limits();
+  }
+
+  /** Returns whether calls need a key unless their route is open. */
+  public boolean needsKeys() {
+    return !configuration.workspaces().isEmpty();
+  }
+
+  /**
+   * Finds the route with the longest prefix that begins the path.
+   *
+   * @param host the host that the caller named, with or without a port
+   * @param path the path without its query
+   */
+  public Optional<Route> find(String host, String path) {
+    List<Route> routes = routesByHost.getOrDefault(lowerCase(withoutPort(host)), List.of());
+    return routes.stream().filter(route -> path.startsWith(route.pathPrefix())).findFirst();
+  }
+
+  /** Returns a service. */
+  public Optional<TargetService> service(String name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  /** Returns the workspace that holds a key. */
+  public Optional<GatewayWorkspace> workspaceOf(String key) {
+    return Optional.ofNullable(workspacesByKey.get(key));
+  }
+
+  private static String withoutPort(String host) {
+    int colon = host.lastIndexOf(':');
+    boolean isIpv6Literal = host.endsWith("]");
+    return colon < 0 || isIpv6Literal ? host : host.substring(0, colon);
+  }
+
+  private static String lowerCase(String host) {
+    return host.toLowerCase(Locale.ROOT);
+  }
+}
--- a/core/src/main/java/org/galenapost/core/verdict/RefusalReason.java
+++ b/core/src/main/java/org/galenapost/core/verdict/RefusalReason.java
@@ -7,6 +7,7 @@
   FORBIDDEN("forbidden", 403),
   NOT_FOUND("not-found", 404),
   BODY_TOO_LARGE("body-too-large", 413),
+  HEADER_TOO_LARGE("header-too-large", 431),
   UNKNOWN_PROFILE("unknown-profile", 404),
   UNKNOWN_MODEL("unknown-model", 404),
   UNKNOWN_SERVICE("unknown-service", 404),
--- a/core/src/test/java/org/galenapost/core/directory/GenerationDirectoryTest.java
+++ b/core/src/test/java/org/galenapost/core/directory/GenerationDirectoryTest.java
@@ -95,7 +95,9 @@
 
   private Optional<DirectoryEntry> found(GenerationDirectory directory, DirectoryKey key) {
     var answer = directory.find(key).toCompletableFuture();
-    List.copyOf(timers).forEach(Runnable::run);
+    List<Runnable> due = List.copyOf(timers);
+    timers.clear();
+    due.forEach(Runnable::run);
     return answer.join();
   }
 
--- a/daemon/src/main/java/org/galenapost/daemon/Arguments.java
+++ b/daemon/src/main/java/org/galenapost/daemon/Arguments.java
@@ -2,8 +2,8 @@
 
 import com.beust.jcommander.Parameter;
 
-/** The command line of {@code galenapostd}. */
-final class Arguments {
+/** The command line of the daemon's programs. */
+public final class Arguments {
 
   @Parameter(names = "--settings", description = "The YAML settings file", required = true)
   private String settings;
@@ -17,15 +17,18 @@
       help = true)
   private boolean isHelp;
 
-  String settings() {
+  /** Returns the path of the settings file. */
+  public String settings() {
     return settings;
   }
 
-  boolean isCheck() {
+  /** Returns whether the settings file is only to be checked. */
+  public boolean isCheck() {
     return isCheck;
   }
 
-  boolean isHelp() {
+  /** Returns whether help is asked for. */
+  public boolean isHelp() {
     return isHelp;
   }
 }
--- a/daemon/src/main/java/org/galenapost/daemon/ExitCode.java
+++ b/daemon/src/main/java/org/galenapost/daemon/ExitCode.java
@@ -1,16 +1,16 @@
 package org.galenapost.daemon;
 
-/** The exit codes of {@code galenapostd}. */
-final class ExitCode {
+/** The exit codes of the daemon's programs. */
+public final class ExitCode {
 
   /** It ended as asked. */
-  static final int SUCCESS = 0;
+  public static final int SUCCESS = 0;
 
   /** It could not start. */
-  static final int START_FAILED = 1;
+  public static final int START_FAILED = 1;
 
   /** The command line or the settings file is faulty. */
-  static final int USAGE = 2;
+  public static final int USAGE = 2;
 
   private ExitCode() {}
 }
--- /dev/null
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -0,0 +1,277 @@
+package org.galenapost.daemon.gateway;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.random.RandomGenerator;
+import org.galenapost.core.configuration.ConfigurationFollower;
+import org.galenapost.core.configuration.ConfigurationKind;
+import org.galenapost.core.configuration.ConfigurationState;
+import org.galenapost.core.configuration.FollowSettings;
+import org.galenapost.core.dispatch.InstanceChooser;
+import org.galenapost.core.dispatch.InstanceHealth;
+import org.galenapost.core.dispatch.InstanceNews;
+import org.galenapost.core.dispatch.SendBudget;
+import org.galenapost.core.dispatch.UseLedger;
+import org.galenapost.core.instance.InstanceDirectory;
+import org.galenapost.core.membership.HeartbeatMembership;
+import org.galenapost.core.membership.MemberRecord;
+import org.galenapost.core.membership.MembershipSettings;
+import org.galenapost.core.platform.HostList;
+import org.galenapost.core.platform.ObjectStore;
+import org.galenapost.core.platform.PlatformCircuit;
+import org.galenapost.core.platform.PlatformReach;
+import org.galenapost.core.quarantine.Quarantine;
+import org.galenapost.core.route.RouteTables;
+import org.galenapost.core.time.MonotonicClock;
+import org.galenapost.core.time.Scheduler;
+import org.galenapost.daemon.controller.MembershipController;
+import org.galenapost.daemon.gateway.call.CallFormat;
+import org.galenapost.daemon.gateway.front.GatewayFront;
+import org.galenapost.daemon.gateway.front.Intake;
+import org.galenapost.daemon.gateway.run.GatewayContext;
+import org.galenapost.daemon.gateway.run.GatewayMeters;
+import org.galenapost.daemon.gateway.run.InstancePaces;
+import org.galenapost.daemon.gateway.upstream.ConnectProbes;
+import org.galenapost.daemon.gateway.upstream.ServerPool;
+import org.galenapost.daemon.generation.LoopGuards;
+import org.galenapost.daemon.http.HttpListener;
+import org.galenapost.daemon.http.HttpPipeline;
+import org.galenapost.daemon.http.ListenerOptions;
+import org.galenapost.daemon.http.PipelineSetup;
+import org.galenapost.daemon.lifecycle.DaemonState;
+import org.galenapost.daemon.lifecycle.DrainSequence;
+import org.galenapost.daemon.lifecycle.PendingWork;
+import org.galenapost.daemon.metrics.DaemonMetrics;
+import org.galenapost.daemon.net.EventLoops;
+import org.galenapost.daemon.operator.HealthRoutes;
+import org.galenapost.daemon.operator.OperatorPipeline;
+import org.galenapost.daemon.operator.OperatorRoutes;
+import org.galenapost.daemon.peer.PeerAddress;
+import org.galenapost.daemon.peer.TcpPeerBus;
+import org.galenapost.daemon.platform.PlatformHttpClient;
+import org.galenapost.daemon.service.Service;
+import org.galenapost.daemon.settings.GatewaySettings;
+import org.galenapost.daemon.settings.RepeatSettings;
+import org.galenapost.daemon.time.EventLoopScheduler;
+
+/** Builds a gateway from its settings; nothing runs before it is started. */
+public final class GatewayBuilder {
+
+  private static final MembershipSettings MEMBERSHIP = MembershipSettings.defaults();
+
+  /** The longest pause before a failed call of the store, so that changes arrive in time. */
+  private static final Duration MAX_STORE_BACKOFF = Duration.ofSeconds(1);
+
+  /** How often one peer is asked for changes; well within the time for a change to be in force. */
+  private static final Duration PULL_PERIOD = Duration.ofMillis(1_000);
+
+  private static final int WRITE_BUFFER_BYTES = 64 * 1024;
+  private static final int MAX_SIDE_CONNECTIONS = 64;
+  private static final int MAX_SIDE_HEADER_BYTES = 8 * 1024;
+  private static final int MAX_SIDE_BODY_BYTES = 64 * 1024;
+  private static final Duration SIDE_TIMEOUT = Duration.ofSeconds(30);
+
+  private final GatewaySettings settings;
+  private final MonotonicClock clock = MonotonicClock.system();
+  private final RandomGenerator random = () -> ThreadLocalRandom.current().nextLong();
+  private final EventLoops eventLoops = new EventLoops(1);
+  private final EventLoop loop = eventLoops.group().next();
+  private final Scheduler scheduler = new EventLoopScheduler(loop);
+  private final DaemonMetrics metrics = new DaemonMetrics();
+  private final PendingWork calls = new PendingWork();
+  private final List<Service> services = new ArrayList<>();
+  private final CallFormat format;
+  private final PlatformHttpClient client;
+  private final ObjectStore store;
+  private final TcpPeerBus bus;
+
+  private GatewayBuilder(GatewaySettings settings, GatewayAdapter adapter) {
+    this.settings = settings;
+    this.format = adapter.callFormat();
+    this.client =
+        new PlatformHttpClient(settings.platform(), new PlatformCircuit(clock), eventLoops.group());
+    this.store = adapter.objectStore(client);
+    this.bus = new TcpPeerBus(settings.daemon().id(), settings.peer(), eventLoops.group());
+  }
+
+  /** Builds a gateway. */
+  public static GatewayDaemon build(GatewaySettings settings, GatewayAdapter adapter) {
+    return new GatewayBuilder(settings, adapter).build();
+  }
+
+  private GatewayDaemon build() {
+    PlatformReach reach = new PlatformReach(clock, GatewayLog::storeReached);
+    RouteTables routes = new RouteTables(GatewayLog::routesChanged, GatewayLog::routesFaulty);
+    InstanceDirectory directory =
+        new InstanceDirectory(
+            clock, reach, settings.timings().lapsedUse(), GatewayLog::instanceChanged);
+    ConfigurationState configuration = new ConfigurationState(ConfigurationKind.GATEWAY_KINDS);
+    configuration.onChange(routes::accept);
+    configuration.onChange(directory::accept);
+    ConfigurationFollower follower =
+        new ConfigurationFollower(
+            configuration,
+            store,
+            bus,
+            scheduler,
+            random::nextDouble,
+            new FollowSettings(settings.platform().watchWait(), MAX_STORE_BACKOFF, PULL_PERIOD),
+            reach);
+    DaemonState state = new DaemonState(() -> follower.isReady() && routes.current().isPresent());
+    LoopGuards guards = new LoopGuards(eventLoops.group(), clock);
+    services.add(eventLoops);
+    services.add(client);
+    services.add(bus);
+    services.add(guards);
+    addMembership(guards);
+    services.add(Service.of("configuration", follower::start, follower::stop));
+    GatewayContext context = context(directory, guards);
+    Intake intake = new Intake(format, routes::current, state, random::nextDouble);
+    GatewayFront front = new GatewayFront(context, intake, routes::current, state, calls);
+    HttpListener caller = listener("caller", settings.caller().address().toSocketAddress(), front);
+    HttpListener operator = operator(state);
+    HttpListener readiness = readiness(state);
+    services.add(operator);
+    services.add(caller);
+    services.add(readiness);
+    addGauges(front, directory, context);
+    DrainSequence drain = drain(state, front, caller);
+    return new GatewayDaemon(
+        services, state, drain, caller, readiness, operator, bus::ownAddress, bus::useSeeds);
+  }
+
+  private void addMembership(LoopGuards guards) {
+    MembershipController membership =
+        new MembershipController(
+            settings.daemon(),
+            bus,
+            self -> heartbeats(guards, self),
+            MEMBERSHIP.period(),
+            InstantSource.system(),
+            scheduler,
+            random::nextDouble);
+    services.add(membership);
+    services.add(
+        new RegistrationController(
+            settings.daemon(),
+            store,
+            bus::ownAddress,
+            hosts -> membership.onHosts(new HostList(0, hosts)),
+            scheduler,
+            random::nextDouble));
+    metrics.gauge("galenapost.peers.live", () -> membership.liveIds().size());
+  }
+
+  private HeartbeatMembership heartbeats(LoopGuards guards, MemberRecord self) {
+    return new HeartbeatMembership(
+        self,
+        MEMBERSHIP,
+        bus,
+        clock,
+        guards,
+        random,
+        member -> bus.learnAddress(member.id(), new PeerAddress(member.ip(), member.port())));
+  }
+
+  private GatewayContext context(InstanceDirectory directory, LoopGuards guards) {
+    UseLedger ledger = new UseLedger();
+    InstanceHealth health = new InstanceHealth(clock);
+    ServerPool pool = new ServerPool(loop, format, clock, settings.timings().connectTimeout());
+    Quarantine quarantine = new Quarantine(bus, InstantSource.system(), clock);
+    RepeatSettings repeats = settings.repeats();
+    InstanceNews news = new InstanceNews(health, directory, bus);
+    services.add(pool);
+    services.add(Service.of("instance-news", news::start, () -> {}));
+    services.add(new UseExchange(ledger, bus, scheduler));
+    services.add(Service.of("quarantine", quarantine::start, () -> {}));
+    InstancePaces paces = new InstancePaces();
+    services.add(new InstanceCleaner(directory, health, paces, scheduler));
+    return new GatewayContext(
+        clock,
+        scheduler,
+        format,
+        pool,
+        new ConnectProbes(loop),
+        directory,
+        new InstanceChooser(
+            settings.daemon().dataCentre(), directory, ledger, health, random::nextDouble),
+        ledger,
+        health,
+        news,
+        new SendBudget(
+            new SendBudget.SendBudgetSettings(
+                repeats.ratio(), repeats.window(), repeats.extraSends()),
+            clock),
+        quarantine,
+        guards,
+        paces,
+        new GatewayMeters(metrics.registry()),
+        () -> bus.livePeerIds().size() + 1);
+  }
+
+  private HttpListener listener(String role, InetSocketAddress address, PipelineSetup pipeline) {
+    return new HttpListener(role, address, eventLoops.group(), WRITE_BUFFER_BYTES, pipeline);
+  }
+
+  private HttpListener operator(DaemonState state) {
+    OperatorRoutes routes = new OperatorRoutes();
+    HealthRoutes.addTo(routes, state, metrics);
+    HttpPipeline http = sidePipeline("operator");
+    return listener(
+        "operator",
+        settings.operator().address().toSocketAddress(),
+        http.limit()
+            .then(http)
+            .then(OperatorPipeline.serving(routes, settings.operator().token())));
+  }
+
+  private HttpListener readiness(DaemonState state) {
+    HttpPipeline http = sidePipeline("readiness");
+    String path = settings.readiness().path();
+    return listener(
+        "readiness",
+        settings.readiness().address().toSocketAddress(),
+        http.limit()
+            .then(http)
+            .then(pipeline -> pipeline.addLast("ready", new ReadinessHandler(state, path))));
+  }
+
+  private HttpPipeline sidePipeline(String role) {
+    ListenerOptions options =
+        new ListenerOptions(
+            MAX_SIDE_CONNECTIONS,
+            MAX_SIDE_HEADER_BYTES,
+            MAX_SIDE_BODY_BYTES,
+            SIDE_TIMEOUT,
+            SIDE_TIMEOUT,
+            SIDE_TIMEOUT);
+    return new HttpPipeline(options, () -> metrics.connectionRefused(role));
+  }
+
+  private void addGauges(GatewayFront front, InstanceDirectory directory, GatewayContext context) {
+    metrics.gauge("galenapost.requests.in.progress", calls::count);
+    metrics.gauge("galenapost.caller.connections", front::connectionCount);
+    metrics.gauge("galenapost.gateway.instances", directory::size);
+    metrics.gauge("galenapost.gateway.server.connections.opened", context.pool()::opened);
+    metrics.gauge("galenapost.peer.sent.bytes", bus.traffic()::sentBytes);
+    metrics.gauge("galenapost.peer.received.bytes", bus.traffic()::receivedBytes);
+  }
+
+  private DrainSequence drain(DaemonState state, GatewayFront front, HttpListener caller) {
+    return new DrainSequence(
+        state,
+        settings.timings().drainNotice(),
+        settings.timings().drainLimit(),
+        () -> {
+          caller.stopAccepting();
+          loop.submit(front::closeIdleConnections).awaitUninterruptibly();
+        },
+        calls::whenEmpty,
+        calls::count);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayLog.java
@@ -0,0 +1,47 @@
+package org.galenapost.daemon.gateway;
+
+import java.util.Optional;
+import org.galenapost.core.configuration.ConfigurationRecord;
+import org.galenapost.core.instance.InstanceChange;
+import org.galenapost.core.route.RouteTable;
+import org.galenapost.daemon.log.EventLog;
+
+/** Writes what the gateway comes to believe of its surroundings. */
+final class GatewayLog {
+
+  private static final EventLog LOG = EventLog.of(GatewayLog.class);
+
+  private GatewayLog() {}
+
+  static void storeReached(boolean isReached) {
+    if (isReached) {
+      LOG.info("dependency_regained").with("dependency", "platform-store").write();
+    } else {
+      LOG.warn("dependency_lost").with("dependency", "platform-store").write();
+    }
+  }
+
+  static void routesChanged(Optional<RouteTable> before, RouteTable now) {
+    LOG.info("configuration_in_force")
+        .with("version", now.version())
+        .with("version_before", before.map(RouteTable::version).orElse(0L))
+        .write();
+  }
+
+  static void routesFaulty(ConfigurationRecord record, String fault) {
+    LOG.warn("configuration_faulty")
+        .with("name", record.name())
+        .with("revision", record.version())
+        .with("fault", fault)
+        .write();
+  }
+
+  static void instanceChanged(InstanceChange change) {
+    LOG.info("server_" + change.kind().logName())
+        .with("server", change.instance().key().text())
+        .with("service", change.instance().service())
+        .with("address", change.instance().address())
+        .with("data_centre", change.instance().dataCentre())
+        .write();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayProgram.java
@@ -0,0 +1,113 @@
+package org.galenapost.daemon.gateway;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import io.vavr.control.Either;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+import org.apache.logging.log4j.LogManager;
+import org.galenapost.daemon.Arguments;
+import org.galenapost.daemon.ExitCode;
+import org.galenapost.daemon.lifecycle.Signals;
+import org.galenapost.daemon.log.EventLog;
+import org.galenapost.daemon.service.ServiceStartException;
+import org.galenapost.daemon.settings.GatewaySettings;
+import org.galenapost.daemon.settings.SettingsFault;
+
+/** Runs a gateway as a program. */
+public final class GatewayProgram {
+
+  private static final EventLog LOG = EventLog.of(GatewayProgram.class);
+  private static final String PROGRAM = "galenapost-gateway";
+
+  private final GatewayAdapter adapter;
+  private final PrintStream out;
+  private final PrintStream err;
+
+  private GatewayProgram(GatewayAdapter adapter, PrintStream out, PrintStream err) {
+    this.adapter = adapter;
+    this.out = out;
+    this.err = err;
+  }
+
+  /**
+   * Runs a gateway until it gets SIGTERM; returns once it serves, or ends the process if it cannot.
+   *
+   * @param adapter the platform's manner of speaking
+   * @param args the command line
+   */
+  public static void run(GatewayAdapter adapter, String... args) {
+    int code = new GatewayProgram(adapter, System.out, System.err).start(args);
+    if (code != ExitCode.SUCCESS) {
+      LogManager.shutdown();
+      System.exit(code);
+    }
+  }
+
+  /** Checks a command line without starting a gateway, and returns the exit code. */
+  public static int check(
+      GatewayAdapter adapter, PrintStream out, PrintStream err, String... args) {
+    return new GatewayProgram(adapter, out, err).start(args);
+  }
+
+  private int start(String... args) {
+    Arguments arguments = new Arguments();
+    JCommander commander =
+        JCommander.newBuilder().programName(PROGRAM).addObject(arguments).build();
+    try {
+      commander.parse(args);
+    } catch (ParameterException e) {
+      err.println(PROGRAM + ": " + e.getMessage());
+      return ExitCode.USAGE;
+    }
+    if (arguments.isHelp()) {
+      commander.usage();
+      return ExitCode.SUCCESS;
+    }
+    return startWith(arguments);
+  }
+
+  private int startWith(Arguments arguments) {
+    Path file = Path.of(arguments.settings());
+    Either<List<SettingsFault>, GatewaySettings> settings = GatewaySettings.read(file);
+    if (settings.isLeft()) {
+      settings.getLeft().forEach(fault -> err.println(fault.message()));
+      return ExitCode.USAGE;
+    }
+    if (arguments.isCheck()) {
+      out.println(file + ": no fault found");
+      return ExitCode.SUCCESS;
+    }
+    return serve(file, settings.get());
+  }
+
+  private int serve(Path file, GatewaySettings settings) {
+    GatewayDaemon daemon = GatewayBuilder.build(settings, adapter);
+    SettingsReload reload = new SettingsReload(file, settings, daemon::reload);
+    Signals.handle("HUP", reload::onSignal);
+    try {
+      daemon.start();
+    } catch (ServiceStartException e) {
+      err.println(PROGRAM + ": " + e.getMessage());
+      return ExitCode.START_FAILED;
+    }
+    reload.start();
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(daemon), "shutdown"));
+    LOG.info("started")
+        .with("daemon", settings.daemon().id())
+        .with("data_centre", settings.daemon().dataCentre())
+        .with("caller_port", daemon.callerPort())
+        .with("peer_port", daemon.peerPort())
+        .write();
+    return ExitCode.SUCCESS;
+  }
+
+  private static void shutDown(GatewayDaemon daemon) {
+    LOG.info("shutdown_requested").write();
+    daemon.drainAndStop();
+    LOG.info("stopped").write();
+    LogManager.shutdown();
+    Runtime.getRuntime().halt(ExitCode.SUCCESS);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/InstanceCleaner.java
@@ -0,0 +1,57 @@
+package org.galenapost.daemon.gateway;
+
+import java.time.Duration;
+import org.galenapost.core.dispatch.InstanceHealth;
+import org.galenapost.core.instance.InstanceDirectory;
+import org.galenapost.core.time.Scheduler;
+import org.galenapost.daemon.gateway.run.InstancePaces;
+import org.galenapost.daemon.service.Service;
+
+/** Forgets what is remembered of servers that are gone, so that memory stays bounded. */
+final class InstanceCleaner implements Service {
+
+  private static final Duration PERIOD = Duration.ofSeconds(10);
+
+  private final InstanceDirectory directory;
+  private final InstanceHealth health;
+  private final InstancePaces paces;
+  private final Scheduler scheduler;
+  private volatile boolean isRunning;
+
+  InstanceCleaner(
+      InstanceDirectory directory,
+      InstanceHealth health,
+      InstancePaces paces,
+      Scheduler scheduler) {
+    this.directory = directory;
+    this.health = health;
+    this.paces = paces;
+    this.scheduler = scheduler;
+  }
+
+  @Override
+  public String name() {
+    return "instance-cleaner";
+  }
+
+  @Override
+  public void start() {
+    isRunning = true;
+    scheduler.schedule(PERIOD, this::clean);
+  }
+
+  @Override
+  public void stop() {
+    isRunning = false;
+  }
+
+  private void clean() {
+    if (!isRunning) {
+      return;
+    }
+    directory.forgetGone();
+    health.keepOnly(directory.keys());
+    paces.keepOnly(directory.keys());
+    scheduler.schedule(PERIOD, this::clean);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/RegistrationController.java
@@ -0,0 +1,154 @@
+package org.galenapost.daemon.gateway;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.galenapost.core.json.Json;
+import org.galenapost.core.platform.Host;
+import org.galenapost.core.platform.HostRole;
+import org.galenapost.core.platform.Listing;
+import org.galenapost.core.platform.ObjectKey;
+import org.galenapost.core.platform.ObjectStore;
+import org.galenapost.core.platform.PlatformError;
+import org.galenapost.core.platform.VersionedObject;
+import org.galenapost.core.time.RandomSource;
+import org.galenapost.core.time.Scheduler;
+import org.galenapost.daemon.log.EventLog;
+import org.galenapost.daemon.peer.PeerAddress;
+import org.galenapost.daemon.service.Service;
+import org.galenapost.daemon.settings.DaemonSettings;
+
+/**
+ * Writes into the platform's store where this daemon listens for others, and reads where they do.
+ * Entries of daemons that are gone stay; membership finds out which daemons live.
+ */
+final class RegistrationController implements Service {
+
+  /** The kind of object that holds the address of one daemon. */
+  static final String KIND = "daemon";
+
+  private static final EventLog LOG = EventLog.of(RegistrationController.class);
+  private static final Duration RETRY_PERIOD = Duration.ofSeconds(1);
+  private static final Duration LIST_PERIOD = Duration.ofSeconds(15);
+
+  private final DaemonSettings daemon;
+  private final ObjectStore store;
+  private final Supplier<PeerAddress> ownAddress;
+  private final Consumer<List<Host>> onHosts;
+  private final Scheduler scheduler;
+  private final RandomSource random;
+  private volatile boolean isRunning;
+
+  RegistrationController(
+      DaemonSettings daemon,
+      ObjectStore store,
+      Supplier<PeerAddress> ownAddress,
+      Consumer<List<Host>> onHosts,
+      Scheduler scheduler,
+      RandomSource random) {
+    this.daemon = daemon;
+    this.store = store;
+    this.ownAddress = ownAddress;
+    this.onHosts = onHosts;
+    this.scheduler = scheduler;
+    this.random = random;
+  }
+
+  /**
+   * Where a daemon listens for others.
+   *
+   * @param ip the IP literal
+   * @param port the TCP port
+   * @param dataCentre the data centre that houses it
+   */
+  record DaemonEntry(String ip, int port, String dataCentre) {}
+
+  @Override
+  public String name() {
+    return "registration";
+  }
+
+  @Override
+  public void start() {
+    isRunning = true;
+    register(ObjectStore.ABSENT);
+  }
+
+  @Override
+  public void stop() {
+    isRunning = false;
+  }
+
+  private void register(long expectedVersion) {
+    if (!isRunning) {
+      return;
+    }
+    store.put(key(), expectedVersion, ownEntry()).thenAccept(this::onRegistered);
+  }
+
+  private ObjectKey key() {
+    return new ObjectKey(KIND, daemon.id());
+  }
+
+  private String ownEntry() {
+    PeerAddress address = ownAddress.get();
+    return Json.write(new DaemonEntry(address.ip(), address.port(), daemon.dataCentre()));
+  }
+
+  private void onRegistered(Either<PlatformError, VersionedObject> answer) {
+    if (answer.isRight()) {
+      LOG.info("daemon_registered").with("version", answer.get().version()).write();
+      list();
+      return;
+    }
+    Optional<VersionedObject> current = currentOf(answer.getLeft());
+    if (current.isPresent() && current.get().json().equals(ownEntry())) {
+      list();
+    } else if (current.isPresent()) {
+      register(current.get().version());
+    } else {
+      LOG.warn("registration_failed").with("error", answer.getLeft()).write();
+      scheduler.schedule(random.jitter(RETRY_PERIOD), () -> register(ObjectStore.ABSENT));
+    }
+  }
+
+  private static Optional<VersionedObject> currentOf(PlatformError error) {
+    return error instanceof PlatformError.Conflict conflict ? conflict.current() : Optional.empty();
+  }
+
+  private void list() {
+    if (isRunning) {
+      store.list(KIND).thenAccept(this::onListed);
+    }
+  }
+
+  private void onListed(Either<PlatformError, Listing> answer) {
+    answer.peek(
+        listing ->
+            onHosts.accept(
+                listing.objects().stream().flatMap(object -> hostOf(object).stream()).toList()));
+    answer.peekLeft(error -> LOG.warn("daemons_not_listed").with("error", error).write());
+    Duration pause = answer.isRight() ? LIST_PERIOD : RETRY_PERIOD;
+    scheduler.schedule(random.jitter(pause), this::list);
+  }
+
+  private static Optional<Host> hostOf(VersionedObject object) {
+    Either<String, DaemonEntry> entry = Json.read(object.json(), DaemonEntry.class);
+    if (entry.isLeft() || entry.get().ip() == null || entry.get().dataCentre() == null) {
+      LOG.warn("daemon_entry_unreadable").with("name", object.key().name()).write();
+      return Optional.empty();
+    }
+    DaemonEntry found = entry.get();
+    return Optional.of(
+        new Host(
+            object.key().name(),
+            found.ip(),
+            found.port(),
+            HostRole.DAEMON,
+            found.dataCentre(),
+            false));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerExchange.java
@@ -0,0 +1,178 @@
+package org.galenapost.daemon.gateway.front;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.math.BigDecimal;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.galenapost.core.json.Json;
+import org.galenapost.core.verdict.Refusal;
+import org.galenapost.daemon.gateway.call.AnswerHead;
+import org.galenapost.daemon.gateway.call.HopHeaders;
+import org.galenapost.daemon.gateway.run.CallerSide;
+import org.galenapost.daemon.http.ProblemDocument;
+
+/** Writes the answer to one request; what comes after its end is ignored. */
+final class CallerExchange implements CallerSide {
+
+  private final Channel channel;
+  private final String callId;
+  private final boolean isKeepAlive;
+  private final boolean isChunkedAllowed;
+  private final BooleanSupplier isDraining;
+  private final Consumer<Boolean> onEnd;
+  private boolean mustClose;
+  private boolean isOver;
+
+  /**
+   * Creates the answer side of a request.
+   *
+   * @param channel the caller's connection
+   * @param callId the id shown in problem documents
+   * @param isKeepAlive whether the caller keeps the connection open
+   * @param isChunkedAllowed whether the caller understands chunks
+   * @param isDraining whether the daemon leaves, so that connections end with their answer
+   * @param onEnd told once, when the answer was written, whether the connection stays open
+   */
+  CallerExchange(
+      Channel channel,
+      String callId,
+      boolean isKeepAlive,
+      boolean isChunkedAllowed,
+      BooleanSupplier isDraining,
+      Consumer<Boolean> onEnd) {
+    this.channel = channel;
+    this.callId = callId;
+    this.isKeepAlive = isKeepAlive;
+    this.isChunkedAllowed = isChunkedAllowed;
+    this.isDraining = isDraining;
+    this.onEnd = onEnd;
+  }
+
+  @Override
+  public void answer(AnswerHead head, ByteBuf body) {
+    writeWhole(head.status(), HopHeaders.without(head.headers()), body);
+  }
+
+  @Override
+  public void refuse(Refusal refusal) {
+    DefaultFullHttpResponse response =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+    HttpHeaders headers = response.headers();
+    headers.set(HttpHeaderNames.CONTENT_TYPE, ProblemDocument.CONTENT_TYPE);
+    refusal
+        .retryAfter()
+        .ifPresent(delay -> headers.set(HttpHeaderNames.RETRY_AFTER, seconds(delay)));
+    String document = Json.write(ProblemDocument.of(refusal, callId));
+    response.release();
+    writeWhole(
+        refusal.reason().httpStatus(),
+        headers,
+        Unpooled.copiedBuffer(document, StandardCharsets.UTF_8));
+  }
+
+  /** Lets the connection end with this answer. */
+  void closeAfterwards() {
+    mustClose = true;
+  }
+
+  private static String seconds(Duration delay) {
+    return BigDecimal.valueOf(delay.toMillis(), 3).stripTrailingZeros().toPlainString();
+  }
+
+  private void writeWhole(int status, HttpHeaders headers, ByteBuf body) {
+    if (isOver) {
+      body.release();
+      return;
+    }
+    DefaultFullHttpResponse response =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), body);
+    response.headers().set(headers);
+    HttpUtil.setContentLength(response, body.readableBytes());
+    boolean stays = setConnection(response);
+    end(response, stays);
+  }
+
+  @Override
+  public void beginStream(AnswerHead head) {
+    if (isOver) {
+      return;
+    }
+    HttpResponse response =
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status()));
+    response.headers().set(HopHeaders.without(head.headers()));
+    response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+    if (isChunkedAllowed) {
+      HttpUtil.setTransferEncodingChunked(response, true);
+    } else {
+      mustClose = true;
+    }
+    setConnection(response);
+    channel.write(response);
+  }
+
+  private boolean setConnection(HttpResponse response) {
+    boolean stays = isKeepAlive && !mustClose && !isDraining.getAsBoolean();
+    if (!stays) {
+      mustClose = true;
+      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+    return stays;
+  }
+
+  @Override
+  public void write(ByteBuf events) {
+    if (isOver) {
+      events.release();
+      return;
+    }
+    channel.write(new DefaultHttpContent(events));
+  }
+
+  @Override
+  public void flush() {
+    channel.flush();
+  }
+
+  @Override
+  public void endStream() {
+    end(LastHttpContent.EMPTY_LAST_CONTENT, isKeepAlive && !mustClose);
+  }
+
+  private void end(Object lastMessage, boolean stays) {
+    if (isOver) {
+      return;
+    }
+    isOver = true;
+    channel
+        .writeAndFlush(lastMessage)
+        .addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
+        .addListener(written -> onEnd.accept(stays));
+  }
+
+  @Override
+  public void breakOff() {
+    isOver = true;
+    channel.close();
+  }
+
+  @Override
+  public boolean isWritable() {
+    return channel.isWritable();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/GatewayFront.java
@@ -0,0 +1,129 @@
+package org.galenapost.daemon.gateway.front;
+
+import io.netty.channel.ChannelPipeline;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.galenapost.core.route.CallerLimits;
+import org.galenapost.core.route.RouteTable;
+import org.galenapost.core.time.MonotonicClock;
+import org.galenapost.core.verdict.Refusal;
+import org.galenapost.daemon.gateway.run.AcceptedCall;
+import org.galenapost.daemon.gateway.run.CallRun;
+import org.galenapost.daemon.gateway.run.GatewayContext;
+import org.galenapost.daemon.http.HeadTimer;
+import org.galenapost.daemon.http.HttpPipeline;
+import org.galenapost.daemon.http.ListenerOptions;
+import org.galenapost.daemon.http.PipelineSetup;
+import org.galenapost.daemon.lifecycle.DaemonState;
+import org.galenapost.daemon.lifecycle.PendingWork;
+import org.galenapost.daemon.log.EventLog;
+
+/** Sets up callers' connections and keeps account of them. Used on one event loop. */
+public final class GatewayFront implements PipelineSetup {
+
+  private static final EventLog LOG = EventLog.of(GatewayFront.class);
+
+  /** Of the descriptors of an entry host, a part is left for servers, daemons and files. */
+  private static final int MAX_CONNECTIONS = 2_500;
+
+  /**
+   * How long a caller may leave its answer unread; a call's own deadline usually ends it before.
+   */
+  private static final Duration SLOW_READER_TIMEOUT = Duration.ofSeconds(30);
+
+  private final GatewayContext context;
+  private final Intake intake;
+  private final Supplier<Optional<RouteTable>> routes;
+  private final DaemonState state;
+  private final PendingWork calls;
+  private final Set<GatewayConnection> connections = new HashSet<>();
+
+  /**
+   * Creates a front.
+   *
+   * @param context what calls are run with
+   * @param intake checks requests
+   * @param routes the route table in force
+   * @param state the daemon's phase
+   * @param calls counts the calls in progress
+   */
+  public GatewayFront(
+      GatewayContext context,
+      Intake intake,
+      Supplier<Optional<RouteTable>> routes,
+      DaemonState state,
+      PendingWork calls) {
+    this.context = context;
+    this.intake = intake;
+    this.routes = routes;
+    this.state = state;
+    this.calls = calls;
+  }
+
+  @Override
+  public void setUp(ChannelPipeline pipeline) {
+    CallerLimits limits = routes.get().map(RouteTable::limits).orElseGet(CallerLimits::defaults);
+    Duration idleTimeout = Duration.ofMillis(limits.idleTimeoutMs());
+    ListenerOptions options =
+        new ListenerOptions(
+            MAX_CONNECTIONS,
+            limits.maxHeaderBytes(),
+            limits.maxBodyBytes(),
+            idleTimeout,
+            idleTimeout,
+            SLOW_READER_TIMEOUT);
+    new HttpPipeline(options, () -> {}).setUp(pipeline);
+    HeadTimer.addTo(pipeline, HttpPipeline.CODEC_NAME, Duration.ofMillis(limits.headerTimeoutMs()));
+    pipeline.addLast("gateway", new GatewayConnection(this));
+  }
+
+  MonotonicClock clock() {
+    return context.clock();
+  }
+
+  Intake intake() {
+    return intake;
+  }
+
+  boolean isDraining() {
+    return state.isDraining();
+  }
+
+  void connected(GatewayConnection connection) {
+    connections.add(connection);
+  }
+
+  void disconnected(GatewayConnection connection) {
+    connections.remove(connection);
+  }
+
+  /** Returns the number of open connections. */
+  public int connectionCount() {
+    return connections.size();
+  }
+
+  /** Closes the connections on which no call is in progress. */
+  public void closeIdleConnections() {
+    List.copyOf(connections).forEach(GatewayConnection::closeIfIdle);
+  }
+
+  CallRun newRun(AcceptedCall call, CallerExchange exchange) {
+    return new CallRun(context, call, exchange, calls.begin());
+  }
+
+  void refused(Refusal refusal, String callId) {
+    context.meters().refused(refusal);
+    LOG.info("call_refused")
+        .with("id", callId)
+        .with("status", refusal.reason().httpStatus())
+        .with("reason", refusal.reason().wireName())
+        .with("verdict", refusal.verdict().wireName())
+        .with("detail", refusal.detail())
+        .with("configuration_version", routes.get().map(RouteTable::version).orElse(0L))
+        .write();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/Intake.java
@@ -0,0 +1,186 @@
+package org.galenapost.daemon.gateway.front;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.galenapost.core.generation.RequestDigest;
+import org.galenapost.core.route.GatewayWorkspace;
+import org.galenapost.core.route.Route;
+import org.galenapost.core.route.RouteTable;
+import org.galenapost.core.route.TargetService;
+import org.galenapost.core.time.RandomSource;
+import org.galenapost.core.verdict.Refusal;
+import org.galenapost.core.verdict.RefusalReason;
+import org.galenapost.daemon.gateway.call.CallFormat;
+import org.galenapost.daemon.gateway.call.CallHead;
+import org.galenapost.daemon.gateway.run.AcceptedCall;
+import org.galenapost.daemon.lifecycle.DaemonState;
+
+/** Checks a request against HTTP, the configuration in force and the daemon's phase. */
+public final class Intake {
+
+  private static final Duration RETRY_AFTER = Duration.ofMillis(300);
+  private static final String UNKNOWN_ID = "-";
+
+  private final CallFormat format;
+  private final Supplier<Optional<RouteTable>> routes;
+  private final DaemonState state;
+  private final RandomSource random;
+
+  /**
+   * Creates the checks.
+   *
+   * @param format reads requests
+   * @param routes the route table in force
+   * @param state the daemon's phase
+   * @param random shares calls between the services of a route
+   */
+  public Intake(
+      CallFormat format,
+      Supplier<Optional<RouteTable>> routes,
+      DaemonState state,
+      RandomSource random) {
+    this.format = format;
+    this.routes = routes;
+    this.state = state;
+    this.random = random;
+  }
+
+  /** Returns the id of a request, as far as it can be read. */
+  String idOf(HttpRequest request) {
+    return request.decoderResult().isFailure()
+        ? UNKNOWN_ID
+        : format.readCall(request).map(CallHead::id).getOrElse(UNKNOWN_ID);
+  }
+
+  /**
+   * Checks a request.
+   *
+   * @param request the request
+   * @param body its body
+   * @param startNanos when it was read, a reading of the monotonic clock
+   */
+  Either<Refusal, AcceptedCall> accept(FullHttpRequest request, byte[] body, long startNanos) {
+    return checkFraming(request)
+        .flatMap(this::readHead)
+        .flatMap(head -> checkAgainstRoutes(head, body, startNanos));
+  }
+
+  private static Either<Refusal, FullHttpRequest> checkFraming(FullHttpRequest request) {
+    if (request.decoderResult().isFailure()) {
+      return Either.left(malformed(request.decoderResult().cause()));
+    }
+    HttpHeaders headers = request.headers();
+    List<String> encodings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    boolean isEncodingPlain =
+        encodings.isEmpty()
+            || (encodings.size() == 1
+                && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.get(0).strip()));
+    boolean isHostPlain = headers.getAll(HttpHeaderNames.HOST).size() == 1;
+    boolean isVersionKnown = request.protocolVersion().majorVersion() == 1;
+    boolean isTargetPlain = request.uri().startsWith("/");
+    if (!isEncodingPlain || !isHostPlain || !isVersionKnown || !isTargetPlain) {
+      return Either.left(
+          Refusal.notRun(
+              RefusalReason.BAD_REQUEST,
+              "The request needs one Host, a path, and a plain or chunked body."));
+    }
+    return Either.right(request);
+  }
+
+  private static Refusal malformed(Throwable cause) {
+    boolean isTooLong =
+        cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+    return isTooLong
+        ? Refusal.notRun(RefusalReason.HEADER_TOO_LARGE, "The head is longer than the limit.")
+        : Refusal.notRun(RefusalReason.BAD_REQUEST, "The request is not well-formed HTTP/1.1.");
+  }
+
+  private Either<Refusal, CallHead> readHead(FullHttpRequest request) {
+    return format
+        .readCall(request)
+        .mapLeft(fault -> Refusal.notRun(RefusalReason.BAD_REQUEST, fault));
+  }
+
+  private Either<Refusal, AcceptedCall> checkAgainstRoutes(
+      CallHead head, byte[] body, long startNanos) {
+    Optional<RouteTable> table = routes.get();
+    if (table.isEmpty()) {
+      return Either.left(
+          Refusal.notRun(RefusalReason.NOT_READY, "No configuration is in force yet.")
+              .withRetryAfter(RETRY_AFTER));
+    }
+    if (state.refusesNewRequests()) {
+      return Either.left(
+          Refusal.notRun(RefusalReason.SHUTTING_DOWN, "The daemon is shutting down.")
+              .withRetryAfter(RETRY_AFTER));
+    }
+    Optional<Route> route = table.get().find(head.host(), head.path());
+    return route
+        .map(found -> checkKey(table.get(), found, head, body, startNanos))
+        .orElseGet(
+            () ->
+                Either.left(
+                    Refusal.notRun(RefusalReason.NOT_FOUND, "No route matches the request.")));
+  }
+
+  private Either<Refusal, AcceptedCall> checkKey(
+      RouteTable table, Route route, CallHead head, byte[] body, long startNanos) {
+    boolean needsKey = table.needsKeys() && !route.isOpen();
+    Optional<GatewayWorkspace> workspace =
+        needsKey ? head.key().flatMap(table::workspaceOf) : Optional.empty();
+    if (needsKey && workspace.isEmpty()) {
+      return Either.left(
+          Refusal.notRun(RefusalReason.UNAUTHENTICATED, "The key is missing or not known."));
+    }
+    Optional<TargetService> service =
+        route.targets().isEmpty()
+            ? Optional.empty()
+            : table.service(route.serviceFor(random.nextDouble()));
+    return service
+        .<Either<Refusal, AcceptedCall>>map(
+            target ->
+                Either.right(newCall(table, route, target, workspace, head, body, startNanos)))
+        .orElseGet(
+            () ->
+                Either.left(
+                    Refusal.notRun(RefusalReason.NO_SERVER, "The route names no service.")
+                        .withRetryAfter(RETRY_AFTER)));
+  }
+
+  private static AcceptedCall newCall(
+      RouteTable table,
+      Route route,
+      TargetService service,
+      Optional<GatewayWorkspace> workspace,
+      CallHead head,
+      byte[] body,
+      long startNanos) {
+    long waitMs = Math.min(route.timeoutMs(), head.waitMs().orElse(route.timeoutMs()));
+    RequestDigest digest =
+        RequestDigest.ofParts(
+            head.target().getBytes(StandardCharsets.UTF_8),
+            head.key().orElse("").getBytes(StandardCharsets.UTF_8),
+            body);
+    return new AcceptedCall(
+        head,
+        body,
+        route,
+        service,
+        workspace,
+        digest,
+        table.version(),
+        startNanos,
+        startNanos + Duration.ofMillis(waitMs).toNanos());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/EventCutter.java
@@ -0,0 +1,93 @@
+package org.galenapost.daemon.gateway.run;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.util.ByteProcessor;
+import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
+
+/**
+ * Cuts a stream of server-sent events into whole events. What follows the last whole event is kept
+ * until the rest of it arrives, and is lost with the cutter.
+ */
+final class EventCutter {
+
+  private static final int MAX_EVENT_BYTES = 1024 * 1024;
+  private static final byte CARRIAGE_RETURN = '\r';
+  private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+  private static final int MAX_ID_DIGITS = 18;
+
+  private final ByteBuf pending = Unpooled.buffer();
+
+  /** Takes bytes as they arrive; the buffer stays the caller's. */
+  void add(ByteBuf bytes) {
+    if (pending.readableBytes() + bytes.readableBytes() > MAX_EVENT_BYTES) {
+      throw new IllegalStateException("an event is longer than " + MAX_EVENT_BYTES + " bytes");
+    }
+    pending.discardSomeReadBytes();
+    pending.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
+  }
+
+  /** Returns the next whole event with the blank line that ends it, or null if there is none. */
+  ByteBuf next() {
+    int lineStart = pending.readerIndex();
+    int end = pending.writerIndex();
+    while (lineStart < end) {
+      int lineEnd = pending.forEachByte(lineStart, end - lineStart, ByteProcessor.FIND_LF);
+      if (lineEnd < 0) {
+        return null;
+      }
+      if (isBlank(lineStart, lineEnd)) {
+        return pending.readBytes(lineEnd + 1 - pending.readerIndex());
+      }
+      lineStart = lineEnd + 1;
+    }
+    return null;
+  }
+
+  private boolean isBlank(int start, int end) {
+    boolean isEmpty = start == end;
+    return isEmpty || (end - start == 1 && pending.getByte(start) == CARRIAGE_RETURN);
+  }
+
+  /** Returns whether a part of an event has arrived. */
+  boolean hasRest() {
+    return pending.isReadable();
+  }
+
+  /** Returns the number of an event, if it has one. */
+  static OptionalLong idOf(ByteBuf event) {
+    int lineStart = event.readerIndex();
+    int end = event.writerIndex();
+    while (lineStart < end) {
+      int found = event.forEachByte(lineStart, end - lineStart, ByteProcessor.FIND_LF);
+      int lineEnd = found < 0 ? end : found;
+      if (isIdLine(event, lineStart, lineEnd)) {
+        return parse(event, lineStart + ID_FIELD.length, lineEnd);
+      }
+      lineStart = lineEnd + 1;
+    }
+    return OptionalLong.empty();
+  }
+
+  private static boolean isIdLine(ByteBuf event, int start, int end) {
+    if (end - start < ID_FIELD.length) {
+      return false;
+    }
+    for (int i = 0; i < ID_FIELD.length; i++) {
+      if (event.getByte(start + i) != ID_FIELD[i]) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private static OptionalLong parse(ByteBuf event, int start, int end) {
+    String text = event.toString(start, end - start, StandardCharsets.US_ASCII).strip();
+    boolean isNumber =
+        !text.isEmpty()
+            && text.length() <= MAX_ID_DIGITS
+            && text.chars().allMatch(c -> c >= '0' && c <= '9');
+    return isNumber ? OptionalLong.of(Long.parseLong(text)) : OptionalLong.empty();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/GatewayMeters.java
@@ -0,0 +1,78 @@
+package org.galenapost.daemon.gateway.run;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.time.Duration;
+import java.util.Locale;
+import org.galenapost.core.route.CallKind;
+import org.galenapost.core.verdict.Refusal;
+import org.galenapost.daemon.gateway.upstream.SendFailure;
+
+/** The gateway's counters and latency histograms. */
+public final class GatewayMeters {
+
+  /** Upper bounds of the histograms' buckets, which hold latency targets of 0.1 s to 30 s. */
+  private static final Duration[] BUCKETS = {
+    Duration.ofMillis(10),
+    Duration.ofMillis(25),
+    Duration.ofMillis(50),
+    Duration.ofMillis(100),
+    Duration.ofMillis(200),
+    Duration.ofMillis(400),
+    Duration.ofMillis(800),
+    Duration.ofMillis(1_500),
+    Duration.ofMillis(3_000),
+    Duration.ofMillis(4_500),
+    Duration.ofMillis(10_000),
+    Duration.ofMillis(30_000)
+  };
+
+  private final MeterRegistry registry;
+
+  /** Creates meters in a registry. */
+  public GatewayMeters(MeterRegistry registry) {
+    this.registry = registry;
+  }
+
+  /** Counts a send. */
+  void sent(boolean isRepeat) {
+    registry.counter("galenapost.gateway.sends", "repeat", Boolean.toString(isRepeat)).increment();
+  }
+
+  /** Counts a send that a server refused without running it. */
+  void refusedByServer(boolean isOtherInstance) {
+    String reason = isOtherInstance ? "other-instance" : "not-run";
+    registry.counter("galenapost.gateway.server.refusals", "reason", reason).increment();
+  }
+
+  /** Counts a send that got no complete answer. */
+  void lost(SendFailure failure) {
+    registry.counter("galenapost.gateway.losses", "cause", failure.cause().logName()).increment();
+  }
+
+  /** Counts a stream that another server continues, and how long its reader waited. */
+  void resumed(boolean isFromCopy, Duration wait) {
+    timer("galenapost.gateway.resume", "copy", Boolean.toString(isFromCopy)).record(wait);
+  }
+
+  /** Counts a call that ended, with the time to the first byte of its answer. */
+  void ended(CallKind kind, int status, Duration toFirstByte) {
+    String kindName = kind.name().toLowerCase(Locale.ROOT);
+    timer("galenapost.gateway.first.byte", "kind", kindName, "status", Integer.toString(status))
+        .record(toFirstByte);
+  }
+
+  /** Counts a refusal under its reason and verdict. */
+  public void refused(Refusal refusal) {
+    Counter.builder("galenapost.refusals")
+        .tag("reason", refusal.reason().wireName())
+        .tag("verdict", refusal.verdict().wireName())
+        .register(registry)
+        .increment();
+  }
+
+  private Timer timer(String name, String... tags) {
+    return Timer.builder(name).tags(tags).serviceLevelObjectives(BUCKETS).register(registry);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ConnectProbes.java
@@ -0,0 +1,101 @@
+package org.galenapost.daemon.gateway.upstream;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.galenapost.core.instance.InstanceKey;
+import org.galenapost.core.instance.ServerInstance;
+import org.galenapost.daemon.net.IpAddresses;
+
+/**
+ * Finds out by a new connection whether a server's host still answers. A second connection is tried
+ * while the first one waits, since a single lost packet delays a connection by a second. Callers
+ * that ask for the same server at the same time share the probe. Used on one event loop.
+ */
+public final class ConnectProbes {
+
+  private static final Duration SECOND_TRY_AFTER = Duration.ofMillis(60);
+  private static final Duration TIMEOUT = Duration.ofMillis(150);
+
+  private final EventLoop loop;
+  private final Bootstrap bootstrap;
+  private final Map<InstanceKey, Probe> probes = new HashMap<>();
+
+  /** Creates probes on an event loop. */
+  public ConnectProbes(EventLoop loop) {
+    this.loop = loop;
+    this.bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) TIMEOUT.toMillis())
+            .handler(
+                new ChannelInitializer<>() {
+                  @Override
+                  protected void initChannel(Channel channel) {}
+                });
+  }
+
+  /**
+   * Probes a server.
+   *
+   * @param instance the server
+   * @param onResult told whether its host accepted a connection
+   */
+  public void probe(ServerInstance instance, Consumer<Boolean> onResult) {
+    Probe running = probes.get(instance.key());
+    if (running != null) {
+      running.listeners.add(onResult);
+      return;
+    }
+    Probe probe = new Probe(instance);
+    probe.listeners.add(onResult);
+    probes.put(instance.key(), probe);
+    probe.connect();
+    loop.schedule(probe::connect, SECOND_TRY_AFTER.toMillis(), TimeUnit.MILLISECONDS);
+    loop.schedule(() -> probe.end(false), TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private final class Probe {
+
+    private final ServerInstance instance;
+    private final List<Consumer<Boolean>> listeners = new ArrayList<>();
+    private boolean isOver;
+
+    Probe(ServerInstance instance) {
+      this.instance = instance;
+    }
+
+    void connect() {
+      if (isOver) {
+        return;
+      }
+      bootstrap
+          .connect(IpAddresses.socketAddress(instance.ip(), instance.port()))
+          .addListener(
+              (ChannelFuture done) -> {
+                done.channel().close();
+                end(done.isSuccess());
+              });
+    }
+
+    void end(boolean isAnswered) {
+      if (!isOver) {
+        isOver = true;
+        probes.remove(instance.key());
+        listeners.forEach(listener -> listener.accept(isAnswered));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
@@ -0,0 +1,243 @@
+package org.galenapost.daemon.gateway.upstream;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.time.Duration;
+import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.galenapost.core.instance.InstanceKey;
+import org.galenapost.daemon.gateway.call.AnswerHead;
+import org.galenapost.daemon.gateway.call.CallFormat;
+import org.galenapost.daemon.log.EventLog;
+
+/**
+ * One connection to a server. An answer that names another call is passed over, and the connection
+ * ends after the answer to its own call. Bytes that no call waits for end it at once.
+ */
+final class ServerConnection extends ChannelInboundHandlerAdapter implements ServerCall {
+
+  private static final EventLog LOG = EventLog.of(ServerConnection.class);
+  private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
+
+  /** How long a connection is kept whose server names no timeout. */
+  private static final Duration DEFAULT_IDLE_LIMIT = Duration.ofSeconds(2);
+
+  /** How long before the server's own timeout a connection is no longer used. */
+  private static final Duration IDLE_MARGIN = Duration.ofMillis(500);
+
+  private final InstanceKey instance;
+  private final CallFormat format;
+  private final Consumer<ServerConnection> onIdle;
+  private Channel channel;
+  private ChannelFuture written;
+  private AnswerListener listener;
+  private String callId;
+  private boolean hasHead;
+  private boolean isPassedOver;
+  private boolean isReusable;
+  private boolean isComplete;
+  private Duration idleLimit = DEFAULT_IDLE_LIMIT;
+  private long idleSinceNanos;
+
+  ServerConnection(InstanceKey instance, CallFormat format, Consumer<ServerConnection> onIdle) {
+    this.instance = instance;
+    this.format = format;
+    this.onIdle = onIdle;
+  }
+
+  InstanceKey instance() {
+    return instance;
+  }
+
+  void opened(Channel opened) {
+    channel = opened;
+  }
+
+  boolean isOpen() {
+    return channel.isActive();
+  }
+
+  void idleSince(long nanos) {
+    idleSinceNanos = nanos;
+  }
+
+  boolean isIdleWithin(long nowNanos, Duration limit) {
+    Duration idle = Duration.ofNanos(nowNanos - idleSinceNanos);
+    return idle.compareTo(limit) <= 0 && idle.compareTo(idleLimit) <= 0;
+  }
+
+  /** Sends a call on this idle connection. */
+  void send(String id, FullHttpRequest request, AnswerListener answerListener) {
+    callId = id;
+    listener = answerListener;
+    hasHead = false;
+    isPassedOver = false;
+    isReusable = true;
+    isComplete = false;
+    written = channel.writeAndFlush(request);
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    try {
+      if (message instanceof HttpResponse response) {
+        onResponse(response);
+      }
+      if (message instanceof HttpContent content) {
+        onContent(content);
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void onResponse(HttpResponse response) {
+    if (listener == null || isComplete) {
+      stray("an answer without a call");
+      return;
+    }
+    if (response.decoderResult().isFailure()) {
+      fail(SendFailure.malformed("no HTTP answer: " + response.decoderResult().cause()));
+      return;
+    }
+    if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+      isPassedOver = true;
+      return;
+    }
+    AnswerHead head = format.readAnswer(response);
+    if (head.callId().isPresent() && !head.callId().get().equals(callId)) {
+      LOG.info("answer_of_other_call").with("id", callId).with("server", instance.text()).write();
+      isPassedOver = true;
+      isReusable = false;
+      return;
+    }
+    isPassedOver = false;
+    hasHead = true;
+    noteReuse(response);
+    listener.onHead(head);
+  }
+
+  private void noteReuse(HttpResponse response) {
+    boolean isFramed =
+        HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
+    isReusable = isReusable && isFramed && HttpUtil.isKeepAlive(response);
+    String keepAlive = response.headers().get("Keep-Alive", "");
+    Matcher timeout = KEEP_ALIVE_TIMEOUT.matcher(keepAlive);
+    if (timeout.find()) {
+      Duration named = Duration.ofSeconds(Integer.parseInt(timeout.group(1)));
+      idleLimit = named.compareTo(IDLE_MARGIN) > 0 ? named.minus(IDLE_MARGIN) : Duration.ZERO;
+    }
+  }
+
+  private void onContent(HttpContent content) {
+    if (listener == null || isComplete) {
+      return;
+    }
+    if (content.decoderResult().isFailure()) {
+      fail(SendFailure.malformed("broken body: " + content.decoderResult().cause()));
+      return;
+    }
+    boolean isLast = content instanceof LastHttpContent;
+    if (isPassedOver) {
+      isPassedOver = !isLast;
+      return;
+    }
+    if (!hasHead) {
+      return;
+    }
+    ByteBuf part = content.content();
+    if (part.isReadable()) {
+      listener.onBody(part);
+    }
+    if (isLast && listener != null) {
+      isComplete = true;
+    }
+  }
+
+  /** Ends the call only here, so that stray bytes of the same read end the connection first. */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    if (isComplete) {
+      complete();
+    } else if (listener != null) {
+      listener.onPause();
+    }
+  }
+
+  private void complete() {
+    AnswerListener answered = listener;
+    listener = null;
+    isComplete = false;
+    boolean isWritten = written.isDone() && written.isSuccess();
+    if (isReusable && isWritten && channel.isActive()) {
+      onIdle.accept(this);
+    } else {
+      channel.close();
+    }
+    answered.onEnd();
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    fail(SendFailure.closed(String.valueOf(cause.getMessage())));
+    context.close();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    if (isComplete) {
+      complete();
+    } else {
+      fail(SendFailure.closed("the server closed the connection"));
+    }
+  }
+
+  private void stray(String what) {
+    LOG.info("stray_bytes").with("server", instance.text()).with("what", what).write();
+    isReusable = false;
+    channel.close();
+  }
+
+  private void fail(SendFailure failure) {
+    AnswerListener failed = listener;
+    listener = null;
+    isComplete = false;
+    if (channel != null) {
+      channel.close();
+    }
+    if (failed != null) {
+      failed.onFailure(failure);
+    }
+  }
+
+  @Override
+  public void cancel() {
+    listener = null;
+    channel.close();
+  }
+
+  @Override
+  public boolean wasSent() {
+    return true;
+  }
+
+  @Override
+  public void setReading(boolean isReading) {
+    channel.config().setAutoRead(isReading);
+  }
+
+  void close() {
+    channel.close();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerPool.java
@@ -0,0 +1,226 @@
+package org.galenapost.daemon.gateway.upstream;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.util.ReferenceCountUtil;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.galenapost.core.instance.InstanceKey;
+import org.galenapost.core.instance.ServerInstance;
+import org.galenapost.core.time.MonotonicClock;
+import org.galenapost.daemon.gateway.call.CallFormat;
+import org.galenapost.daemon.net.IpAddresses;
+import org.galenapost.daemon.net.KeepAliveProbes;
+import org.galenapost.daemon.service.Service;
+
+/** Sends calls over connections that are kept open between calls. Used on one event loop. */
+public final class ServerPool implements Service {
+
+  private static final Duration SWEEP_PERIOD = Duration.ofSeconds(1);
+  private static final Duration NO_IDLE_BOUND = Duration.ofDays(1);
+
+  /**
+   * The longest idle time after which a call that must not be repeated still reuses a connection.
+   */
+  private static final Duration FRESH = Duration.ofMillis(500);
+
+  private static final int MAX_HEADER_BYTES = 64 * 1024;
+  private static final HttpDecoderConfig DECODER =
+      new HttpDecoderConfig()
+          .setMaxInitialLineLength(MAX_HEADER_BYTES)
+          .setMaxHeaderSize(MAX_HEADER_BYTES);
+
+  private final EventLoop loop;
+  private final CallFormat format;
+  private final MonotonicClock clock;
+  private final Bootstrap bootstrap;
+  private final Map<InstanceKey, Deque<ServerConnection>> idle = new HashMap<>();
+  private long opened;
+
+  /**
+   * Creates a pool without connections.
+   *
+   * @param loop the event loop on which everything runs
+   * @param format reads answers
+   * @param clock elapsed time
+   * @param connectTimeout how long a connection may take to open
+   */
+  public ServerPool(
+      EventLoop loop, CallFormat format, MonotonicClock clock, Duration connectTimeout) {
+    this.loop = loop;
+    this.format = format;
+    this.clock = clock;
+    this.bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
+            .option(ChannelOption.TCP_NODELAY, true);
+    KeepAliveProbes.set(bootstrap::option);
+  }
+
+  @Override
+  public String name() {
+    return "server-pool";
+  }
+
+  @Override
+  public void start() {
+    long periodMs = SWEEP_PERIOD.toMillis();
+    loop.scheduleWithFixedDelay(this::sweep, periodMs, periodMs, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void stop() {
+    loop.submit(() -> idle.values().forEach(pool -> pool.forEach(ServerConnection::close)))
+        .awaitUninterruptibly();
+  }
+
+  /** Returns the number of connections opened so far. */
+  public long opened() {
+    return opened;
+  }
+
+  /**
+   * Sends a call.
+   *
+   * @param instance the server
+   * @param callId the id that the answer has to name
+   * @param request the request, which is released
+   * @param mayRepeat whether the call may be sent again if the server has just closed the
+   *     connection
+   * @param listener hears of the answer
+   */
+  public ServerCall send(
+      ServerInstance instance,
+      String callId,
+      FullHttpRequest request,
+      boolean mayRepeat,
+      AnswerListener listener) {
+    ServerConnection kept = takeIdle(instance.key(), mayRepeat ? NO_IDLE_BOUND : FRESH);
+    if (kept != null) {
+      kept.send(callId, request, listener);
+      return kept;
+    }
+    return open(instance, callId, request, listener);
+  }
+
+  private ServerConnection takeIdle(InstanceKey instance, Duration maxIdle) {
+    Deque<ServerConnection> pool = idle.get(instance);
+    while (pool != null && !pool.isEmpty()) {
+      ServerConnection connection = pool.pollLast();
+      if (connection.isOpen() && connection.isIdleWithin(clock.nanos(), maxIdle)) {
+        return connection;
+      }
+      connection.close();
+    }
+    return null;
+  }
+
+  private ServerCall open(
+      ServerInstance instance, String callId, FullHttpRequest request, AnswerListener listener) {
+    ServerConnection connection = new ServerConnection(instance.key(), format, this::keep);
+    OpeningCall opening = new OpeningCall(connection);
+    ChannelFuture connecting =
+        bootstrap
+            .clone()
+            .handler(initializer(connection))
+            .connect(IpAddresses.socketAddress(instance.ip(), instance.port()));
+    opening.channel = connecting.channel();
+    opened++;
+    connecting.addListener(
+        (ChannelFuture done) -> {
+          if (opening.isCancelled) {
+            ReferenceCountUtil.release(request);
+            done.channel().close();
+          } else if (done.isSuccess()) {
+            opening.isOpen = true;
+            connection.send(callId, request, listener);
+          } else {
+            ReferenceCountUtil.release(request);
+            listener.onFailure(SendFailure.unreachable(done.cause()));
+          }
+        });
+    return opening;
+  }
+
+  private static ChannelInitializer<Channel> initializer(ServerConnection connection) {
+    return new ChannelInitializer<>() {
+      @Override
+      protected void initChannel(Channel channel) {
+        connection.opened(channel);
+        channel.pipeline().addLast(new HttpClientCodec(DECODER, false, false), connection);
+      }
+    };
+  }
+
+  private void keep(ServerConnection connection) {
+    connection.idleSince(clock.nanos());
+    idle.computeIfAbsent(connection.instance(), key -> new ArrayDeque<>()).addLast(connection);
+  }
+
+  private void sweep() {
+    Iterator<Deque<ServerConnection>> pools = idle.values().iterator();
+    while (pools.hasNext()) {
+      Deque<ServerConnection> pool = pools.next();
+      pool.removeIf(this::closeIfUnusable);
+      if (pool.isEmpty()) {
+        pools.remove();
+      }
+    }
+  }
+
+  private boolean closeIfUnusable(ServerConnection connection) {
+    boolean isUsable = connection.isOpen() && connection.isIdleWithin(clock.nanos(), NO_IDLE_BOUND);
+    if (!isUsable) {
+      connection.close();
+    }
+    return !isUsable;
+  }
+
+  /** A call whose connection may not be open yet. */
+  private static final class OpeningCall implements ServerCall {
+
+    private final ServerConnection connection;
+    private Channel channel;
+    private boolean isOpen;
+    private boolean isCancelled;
+
+    OpeningCall(ServerConnection connection) {
+      this.connection = connection;
+    }
+
+    @Override
+    public void cancel() {
+      isCancelled = true;
+      if (isOpen) {
+        connection.cancel();
+      } else {
+        channel.close();
+      }
+    }
+
+    @Override
+    public boolean wasSent() {
+      return isOpen;
+    }
+
+    @Override
+    public void setReading(boolean isReading) {
+      channel.config().setAutoRead(isReading);
+    }
+  }
+}
--- a/daemon/src/main/java/org/galenapost/daemon/http/HttpPipeline.java
+++ b/daemon/src/main/java/org/galenapost/daemon/http/HttpPipeline.java
@@ -2,11 +2,13 @@
 
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
 
 /** Sets up the handlers that every HTTP connection begins with. */
 public final class HttpPipeline implements PipelineSetup {
 
+  /** The name of the HTTP codec's handler. */
+  public static final String CODEC_NAME = "codec";
+
   private final ListenerOptions options;
   private final ConnectionLimiter limiter;
 
@@ -28,7 +30,7 @@
 
   @Override
   public void setUp(ChannelPipeline pipeline) {
-    pipeline.addLast("codec", new HttpServerCodec(decoderConfig()));
+    pipeline.addLast(CODEC_NAME, new StrictServerCodec(decoderConfig()));
     pipeline.addLast("slow-caller-guard", new SlowCallerGuard(options));
     pipeline.addLast("aggregator", new RequestAggregator(options.maxBodyBytes()));
   }
--- /dev/null
+++ b/daemon/src/main/java/org/galenapost/daemon/http/StrictServerCodec.java
@@ -0,0 +1,66 @@
+package org.galenapost.daemon.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Queue;
+
+/**
+ * Decodes requests and encodes responses, as {@code HttpServerCodec} does, but takes a request with
+ * both a length and chunks for malformed: two readers of it may disagree on where it ends.
+ */
+final class StrictServerCodec
+    extends CombinedChannelDuplexHandler<HttpRequestDecoder, HttpResponseEncoder> {
+
+  private final Queue<HttpMethod> unansweredMethods = new ArrayDeque<>();
+
+  StrictServerCodec(HttpDecoderConfig config) {
+    init(new Decoder(config), new Encoder());
+  }
+
+  private final class Decoder extends HttpRequestDecoder {
+
+    Decoder(HttpDecoderConfig config) {
+      super(config);
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
+        throws Exception {
+      int before = out.size();
+      super.decode(context, buffer, out);
+      for (Object message : out.subList(before, out.size())) {
+        if (message instanceof HttpRequest request) {
+          unansweredMethods.add(request.method());
+        }
+      }
+    }
+
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+      throw new IllegalArgumentException("a request has both a length and chunks");
+    }
+  }
+
+  private final class Encoder extends HttpResponseEncoder {
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpResponse response) {
+      if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+        return super.isContentAlwaysEmpty(response);
+      }
+      HttpMethod method = unansweredMethods.poll();
+      return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(response);
+    }
+  }
+}
--- a/daemon/src/main/java/org/galenapost/daemon/peer/PeerMessageTypes.java
+++ b/daemon/src/main/java/org/galenapost/daemon/peer/PeerMessageTypes.java
@@ -16,6 +16,8 @@
 import org.galenapost.core.directory.DirectoryAnswer;
 import org.galenapost.core.directory.DirectoryPut;
 import org.galenapost.core.directory.DirectoryQuery;
+import org.galenapost.core.dispatch.InstanceNotice;
+import org.galenapost.core.dispatch.UseReport;
 import org.galenapost.core.drain.DrainNotice;
 import org.galenapost.core.membership.HostListNotice;
 import org.galenapost.core.membership.MembershipMessage;
@@ -55,7 +57,9 @@
           new NamedType(MembershipMessage.ProbeRequest.class, "probe-request"),
           new NamedType(MembershipMessage.ProbeAck.class, "probe-ack"),
           new NamedType(MembershipMessage.Table.class, "member-table"),
-          new NamedType(HostListNotice.class, "host-list-notice"));
+          new NamedType(HostListNotice.class, "host-list-notice"),
+          new NamedType(UseReport.class, "use-report"),
+          new NamedType(InstanceNotice.class, "instance-notice"));
 
   private PeerMessageTypes() {}
 
--- a/daemon/src/main/java/org/galenapost/daemon/peer/TcpPeerBus.java
+++ b/daemon/src/main/java/org/galenapost/daemon/peer/TcpPeerBus.java
@@ -15,6 +15,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -24,6 +25,7 @@
 import java.util.function.Supplier;
 import org.galenapost.core.peer.PeerBus;
 import org.galenapost.core.peer.PeerMessage;
+import org.galenapost.daemon.net.KeepAliveProbes;
 import org.galenapost.daemon.peer.HelloAuthenticator.Role;
 import org.galenapost.daemon.service.Service;
 import org.galenapost.daemon.service.ServiceStartException;
@@ -50,6 +52,7 @@
   private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
   private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private volatile Supplier<Set<String>> livePeers;
+  private volatile List<SocketAddressSetting> seeds;
   private volatile Channel listener;
 
   /** Creates a bus that knows no daemon but its seeds. */
@@ -57,6 +60,7 @@
     this.ownId = ownId;
     this.settings = settings;
     this.eventLoops = eventLoops;
+    this.seeds = settings.seeds();
     this.authenticator = new HelloAuthenticator(settings.secret());
     this.livePeers = () -> Set.copyOf(addresses.keySet());
   }
@@ -113,6 +117,11 @@
     livePeers = source;
   }
 
+  /** Replaces the addresses of daemons to meet first. */
+  public void useSeeds(List<SocketAddressSetting> newSeeds) {
+    seeds = List.copyOf(newSeeds);
+  }
+
   /** Learns where a daemon listens. */
   public void learnAddress(String daemonId, PeerAddress address) {
     if (!daemonId.equals(ownId)) {
@@ -143,7 +152,7 @@
 
   /** Connects to each seed once, to learn which daemon listens there. */
   public void dialSeeds() {
-    for (SocketAddressSetting seed : settings.seeds()) {
+    for (SocketAddressSetting seed : seeds) {
       PeerAddress address = new PeerAddress(seed.ip(), seed.port());
       if (!addresses.containsValue(address) && !address.equals(ownAddress())) {
         connect(address, channel -> hello -> channel.close(), () -> {});
@@ -184,7 +193,9 @@
   }
 
   private void connect(PeerAddress address, ProvedListener onProved, Runnable onFailure) {
-    new Bootstrap()
+    Bootstrap bootstrap = new Bootstrap();
+    KeepAliveProbes.set(bootstrap::option);
+    bootstrap
         .group(eventLoops)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
--- a/daemon/src/main/java/org/galenapost/daemon/platform/PlatformHttpClient.java
+++ b/daemon/src/main/java/org/galenapost/daemon/platform/PlatformHttpClient.java
@@ -10,12 +10,14 @@
 import java.util.concurrent.CompletionStage;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.AsyncHttpClientConfig;
+import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.Dsl;
 import org.asynchttpclient.RequestBuilder;
 import org.asynchttpclient.Response;
 import org.galenapost.core.platform.PlatformCircuit;
 import org.galenapost.core.platform.PlatformError;
 import org.galenapost.daemon.net.IpAddresses;
+import org.galenapost.daemon.net.KeepAliveProbes;
 import org.galenapost.daemon.service.Service;
 import org.galenapost.daemon.settings.PlatformSettings;
 
@@ -39,8 +41,10 @@
       PlatformSettings settings, PlatformCircuit circuit, EventLoopGroup eventLoops) {
     this.settings = settings;
     this.circuit = circuit;
+    DefaultAsyncHttpClientConfig.Builder builder = Dsl.config();
+    KeepAliveProbes.set(builder::addChannelOption);
     this.config =
-        Dsl.config()
+        builder
             .setEventLoopGroup(eventLoops)
             .setMaxConnections(MAX_CONNECTIONS)
             .setConnectTimeout(CONNECT_TIMEOUT)
@@ -70,20 +74,22 @@
     }
   }
 
-  RequestBuilder request(String method, String pathAndQuery) {
+  /** Returns a request without a body. */
+  public RequestBuilder request(String method, String pathAndQuery) {
     return new RequestBuilder(method)
         .setUrl("http://" + settings.address() + pathAndQuery)
         .setAddress(IpAddresses.address(settings.address().ip()));
   }
 
-  RequestBuilder jsonRequest(String method, String pathAndQuery, String json) {
+  /** Returns a request with a JSON body. */
+  public RequestBuilder jsonRequest(String method, String pathAndQuery, String json) {
     return request(method, pathAndQuery)
         .setHeader(HttpHeaderNames.CONTENT_TYPE, "application/json")
         .setBody(json);
   }
 
   /** Makes a short call under the circuit. */
-  CompletionStage<Either<PlatformError, Response>> call(RequestBuilder request) {
+  public CompletionStage<Either<PlatformError, Response>> call(RequestBuilder request) {
     if (!circuit.tryCall()) {
       return CompletableFuture.completedFuture(
           Either.left(new PlatformError.Unavailable("the platform is held to be down")));
@@ -96,7 +102,7 @@
    * for as long as it is held, and would take the place of a short call that finds out at once
    * whether the platform is back.
    */
-  CompletionStage<Either<PlatformError, Response>> waitingCall(
+  public CompletionStage<Either<PlatformError, Response>> waitingCall(
       RequestBuilder request, Duration maxWait) {
     return send(request, maxWait.plus(settings.requestTimeout()))
         .thenApply(answer -> answer.flatMap(PlatformHttpClient::checkStatus));
--- a/daemon/src/main/java/org/galenapost/daemon/settings/CallerSettings.java
+++ b/daemon/src/main/java/org/galenapost/daemon/settings/CallerSettings.java
@@ -12,7 +12,6 @@
 
   static CallerSettings bind(SectionReader section) {
     return new CallerSettings(
-        new SocketAddressSetting(section.ip("ip"), section.port("port")),
-        section.optionalSection("tls", TlsSettings::bind));
+        section.listener(), section.optionalSection("tls", TlsSettings::bind));
   }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/galenapost/daemon/settings/GatewaySettings.java
@@ -0,0 +1,59 @@
+package org.galenapost.daemon.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * The settings of one daemon that serves as a gateway.
+ *
+ * @param daemon who the daemon is
+ * @param caller the listener for callers
+ * @param readiness the listener that the balancer asks
+ * @param operator the listener for operators
+ * @param peer the listener for other daemons
+ * @param platform the platform's object API
+ * @param repeats how many sends may be repeated
+ * @param timings how long the gateway waits
+ */
+public record GatewaySettings(
+    DaemonSettings daemon,
+    CallerSettings caller,
+    ReadinessSettings readiness,
+    OperatorSettings operator,
+    PeerSettings peer,
+    PlatformSettings platform,
+    RepeatSettings repeats,
+    GatewayTimings timings) {
+
+  /**
+   * Reads and checks a YAML file.
+   *
+   * @return the settings, or every fault of the file
+   */
+  public static Either<List<SettingsFault>, GatewaySettings> read(Path file) {
+    return SettingsFile.parse(file).flatMap(root -> check(file.toString(), root));
+  }
+
+  private static Either<List<SettingsFault>, GatewaySettings> check(String file, JsonNode root) {
+    FaultList faults = new FaultList(file);
+    GatewaySettings settings = bind(new SectionReader("", root, faults));
+    return faults.isEmpty() ? Either.right(settings) : Either.left(faults.toList());
+  }
+
+  private static GatewaySettings bind(SectionReader root) {
+    GatewaySettings settings =
+        new GatewaySettings(
+            root.section("daemon", DaemonSettings::bind),
+            root.section("caller", CallerSettings::bind),
+            root.section("readiness", ReadinessSettings::bind),
+            root.section("operator", OperatorSettings::bind),
+            root.section("peer", PeerSettings::bind),
+            root.section("platform", PlatformSettings::bind),
+            root.section("repeats", RepeatSettings::bind),
+            root.section("timings", GatewayTimings::bind));
+    root.refuseUnknownKeys();
+    return settings;
+  }
+}
--- a/daemon/src/main/java/org/galenapost/daemon/settings/OperatorSettings.java
+++ b/daemon/src/main/java/org/galenapost/daemon/settings/OperatorSettings.java
@@ -11,9 +11,7 @@
   private static final int MIN_TOKEN_LENGTH = 16;
 
   static OperatorSettings bind(SectionReader section) {
-    return new OperatorSettings(
-        new SocketAddressSetting(section.ip("ip"), section.port("port")),
-        section.secret("token", MIN_TOKEN_LENGTH));
+    return new OperatorSettings(section.listener(), section.secret("token", MIN_TOKEN_LENGTH));
   }
 
   @Override
--- a/daemon/src/main/java/org/galenapost/daemon/settings/PeerSettings.java
+++ b/daemon/src/main/java/org/galenapost/daemon/settings/PeerSettings.java
@@ -21,7 +21,7 @@
 
   static PeerSettings bind(SectionReader section) {
     return new PeerSettings(
-        new SocketAddressSetting(section.ip("ip"), section.port("port")),
+        section.listener(),
         section.secret("secret", MIN_SECRET_LENGTH),
         section.addresses("seeds"));
   }
--- /dev/null
+++ b/daemon/src/main/java/org/galenapost/daemon/settings/RepeatSettings.java
@@ -0,0 +1,28 @@
+package org.galenapost.daemon.settings;
+
+import java.time.Duration;
+
+/**
+ * How many sends all daemons together may repeat.
+ *
+ * @param ratio repeated sends for each call of the window
+ * @param window the window
+ * @param extraSends repeated sends of a window beyond the ratio
+ */
+public record RepeatSettings(double ratio, Duration window, int extraSends) {
+
+  private static final double DEFAULT_RATIO = 0.2;
+  private static final double MAX_RATIO = 10;
+  private static final Duration DEFAULT_WINDOW = Duration.ofSeconds(10);
+  private static final Duration MIN_WINDOW = Duration.ofMillis(100);
+  private static final Duration MAX_WINDOW = Duration.ofHours(1);
+  private static final int DEFAULT_EXTRA_SENDS = 50;
+  private static final int MAX_EXTRA_SENDS = 1_000_000;
+
+  static RepeatSettings bind(SectionReader section) {
+    return new RepeatSettings(
+        section.decimal("ratio", DEFAULT_RATIO, 0, MAX_RATIO),
+        section.durationMs("window_ms", DEFAULT_WINDOW, MIN_WINDOW, MAX_WINDOW),
+        section.count("extra_sends", DEFAULT_EXTRA_SENDS, 0, MAX_EXTRA_SENDS));
+  }
+}
--- a/daemon/src/main/java/org/galenapost/daemon/settings/SectionReader.java
+++ b/daemon/src/main/java/org/galenapost/daemon/settings/SectionReader.java
@@ -103,6 +103,18 @@
     return (int) number(key, Optional.empty(), min, max, "a whole number");
   }
 
+  double decimal(String key, double defaultValue, double min, double max) {
+    JsonNode child = child(key);
+    if (child.isMissingNode()) {
+      return defaultValue;
+    }
+    if (child.isNumber() && child.doubleValue() >= min && child.doubleValue() <= max) {
+      return child.doubleValue();
+    }
+    fault(key, "a number from " + min + " to " + max, describe(child));
+    return defaultValue;
+  }
+
   Duration durationMs(String key, Duration defaultValue, Duration min, Duration max) {
     Optional<Long> fallback = Optional.of(defaultValue.toMillis());
     return Duration.ofMillis(
@@ -124,6 +136,13 @@
     return fallback.orElse(min);
   }
 
+  /** Reads where a listener binds: an {@code address}, or {@code ip} and {@code port}. */
+  SocketAddressSetting listener() {
+    return child("address").isMissingNode()
+        ? new SocketAddressSetting(ip("ip"), port("port"))
+        : address("address");
+  }
+
   SocketAddressSetting address(String key) {
     return parseAddress(pathOf(key), child(key));
   }
