Test the gateway over sockets against stand-ins of store and servers

Logs of all daemons go to standard output through a bounded queue that drops lines instead of blocking and counts them (galenapost.log.dropped); scenarios keep them in the log file of each process.

--- a/daemon/src/main/java/org/galenapost/daemon/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/galenapost/daemon/metrics/DaemonMetrics.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.function.Supplier;
 import org.galenapost.core.verdict.Refusal;
+import org.galenapost.daemon.log.DroppedLines;
 
 /** Counts what the daemon does; the operator port shows it as Prometheus text. */
 public final class DaemonMetrics {
@@ -16,6 +17,11 @@
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
+  /** Creates meters, with one of the log lines dropped. */
+  public DaemonMetrics() {
+    gauge("galenapost.log.dropped", DroppedLines::count);
+  }
+
   /** Counts a refusal under its reason and verdict. */
   public void refused(Refusal refusal) {
     Counter.builder("galenapost.refusals")
--- a/scenarios/src/main/java/org/galenapost/scenarios/process/ManagedProcess.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/process/ManagedProcess.java
@@ -1,10 +1,14 @@
 package org.galenapost.scenarios.process;
 
 import java.io.BufferedReader;
+import java.io.BufferedWriter;
 import java.io.IOException;
+import java.io.PrintWriter;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -39,34 +43,45 @@
    *
    * @param name the name used in messages
    * @param command the command line
-   * @param errorFile the file that takes its standard error
+   * @param logFile the file that takes what it writes
    */
-  public static ManagedProcess start(String name, List<String> command, Path errorFile) {
+  public static ManagedProcess start(String name, List<String> command, Path logFile) {
     ProcessBuilder builder = new ProcessBuilder(command);
-    builder.redirectError(ProcessBuilder.Redirect.appendTo(errorFile.toFile()));
+    builder.redirectErrorStream(true);
     try {
       ManagedProcess managed = new ManagedProcess(name, builder.start());
-      managed.readOutput();
+      managed.readOutput(logFile);
       return managed;
     } catch (IOException e) {
       throw new UncheckedIOException("process " + name + " did not start", e);
     }
   }
 
-  private void readOutput() {
-    Thread reader = new Thread(this::readLines, "output-" + name);
+  private void readOutput(Path logFile) {
+    Thread reader = new Thread(() -> readLines(logFile), "output-" + name);
     reader.setDaemon(true);
     reader.start();
   }
 
-  private void readLines() {
-    try (BufferedReader lines = process.inputReader(StandardCharsets.UTF_8)) {
-      lines.lines().forEach(this::noteListening);
+  private void readLines(Path logFile) {
+    try (BufferedReader lines = process.inputReader(StandardCharsets.UTF_8);
+        PrintWriter log = new PrintWriter(newLogWriter(logFile), true)) {
+      lines
+          .lines()
+          .forEach(
+              line -> {
+                log.println(line);
+                noteListening(line);
+              });
     } catch (IOException | UncheckedIOException e) {
       portsByRole.putIfAbsent("closed", 0);
     }
   }
 
+  private static BufferedWriter newLogWriter(Path logFile) throws IOException {
+    return Files.newBufferedWriter(logFile, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+  }
+
   private void noteListening(String line) {
     Matcher matcher = LISTENING.matcher(line);
     if (matcher.find()) {
--- /dev/null
+++ b/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
@@ -0,0 +1,226 @@
+package org.galenapost.standins.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.galenapost.standins.Standin;
+import org.galenapost.standins.http.EventStream;
+import org.galenapost.standins.http.Exchange;
+import org.galenapost.standins.http.HttpServer;
+
+/**
+ * A server of a service: seals its answers, refuses calls meant for another instance, streams
+ * numbered events, and goes on with a stream after a given event. Its faults are switched by
+ * methods, which any thread may call.
+ */
+public final class ServerStandin implements Standin {
+
+  /** The events of each stream. */
+  public static final int EVENTS = 20;
+
+  private static final int OK = 200;
+  private static final int FAILED = 500;
+  private static final int OTHER_INSTANCE = 421;
+  private static final int FULL = 503;
+  private static final Duration EVENT_PAUSE = Duration.ofMillis(10);
+
+  private final HttpServer server;
+  private final String id;
+  private final Set<String> copies;
+  private final List<Run> runs = new CopyOnWriteArrayList<>();
+  private final List<String> abandonedIds = new CopyOnWriteArrayList<>();
+  private volatile Behaviour behaviour = Behaviour.SERVING;
+  private volatile Duration work = Duration.ofMillis(5);
+
+  /** How the server treats calls. */
+  public enum Behaviour {
+    /** It answers. */
+    SERVING,
+    /** It runs calls and answers that it failed. */
+    FAILING,
+    /** It says that it is full and runs nothing. */
+    FULL,
+    /** It runs calls and answers nothing. */
+    SILENT,
+    /** It runs calls and resets the connection. */
+    RESETTING,
+    /** It answers with another call's answer before the own one. */
+    CROSSING,
+    /** It answers with bytes that are no HTTP. */
+    GARBLING,
+    /** It answers a success without its seal. */
+    UNSEALED,
+    /** It answers in full and sends more bytes. */
+    TALKATIVE,
+    /** It streams half of the events and resets the connection in the middle of the next one. */
+    DYING_IN_STREAM
+  }
+
+  /**
+   * One run of a call.
+   *
+   * @param callId the id of the call
+   * @param target the path with its query
+   * @param headers all headers
+   * @param body the body
+   */
+  public record Run(String callId, String target, Map<String, String> headers, String body) {}
+
+  /**
+   * Creates a server on a port, or on a free one if the port is 0.
+   *
+   * @param id the id of this start
+   * @param copies the ids of the runs whose memory was copied, shared by the servers of a test
+   */
+  public ServerStandin(String id, int port, Set<String> copies) {
+    this.server = HttpServer.onPort(port);
+    this.id = id;
+    this.copies = copies;
+  }
+
+  /** Creates a server on a free port that shares no memory. */
+  public ServerStandin(String id) {
+    this(id, 0, new HashSet<>());
+  }
+
+  @Override
+  public void start() {
+    server.start(this::handle);
+  }
+
+  @Override
+  public int port() {
+    return server.port();
+  }
+
+  @Override
+  public void stop() {
+    server.stop();
+  }
+
+  /** Returns the id of this start. */
+  public String id() {
+    return id;
+  }
+
+  /** Returns the address as IP literal and port. */
+  public String address() {
+    return HttpServer.LOOPBACK_IP + ":" + port();
+  }
+
+  /** Switches how calls are treated. */
+  public void setBehaviour(Behaviour newBehaviour) {
+    behaviour = newBehaviour;
+  }
+
+  /** Sets how long a call takes, and a stream until its first event. */
+  public void setWork(Duration newWork) {
+    work = newWork;
+  }
+
+  /** Returns the runs so far. */
+  public List<Run> runs() {
+    return List.copyOf(runs);
+  }
+
+  /** Returns the ids of the calls whose connection was closed before their answer ended. */
+  public List<String> abandonedIds() {
+    return List.copyOf(abandonedIds);
+  }
+
+  /** Closes every connection, as a crash does; new ones are still accepted. */
+  public void dropConnections() {
+    server.closeConnections();
+  }
+
+  private void handle(Exchange exchange) {
+    Map<String, String> headers = exchange.headers();
+    String callId = headers.getOrDefault("X-Attempt-Id", "");
+    if (!headers.getOrDefault("X-Expect-Instance", id).equals(id)) {
+      exchange.reply(OTHER_INSTANCE, Map.of("X-Instance-Id", id), "");
+      return;
+    }
+    boolean lacksCopy = headers.containsKey("Kv-From") && !copies.contains(callId);
+    if (behaviour == Behaviour.FULL || lacksCopy) {
+      exchange.reply(FULL, Map.of("X-Not-Executed", "1"), "");
+      return;
+    }
+    runs.add(new Run(callId, exchange.target(), headers, exchange.body()));
+    exchange.onClose(() -> abandonedIds.add(callId));
+    if (headers.containsKey("X-Kv-Backup")) {
+      copies.add(callId);
+    }
+    server
+        .loop()
+        .schedule(() -> answer(exchange, callId, headers), work.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private void answer(Exchange exchange, String callId, Map<String, String> headers) {
+    Map<String, String> sealed =
+        Map.of("X-Attempt-Id", callId, "X-Response-Seal", "seal-of-" + callId);
+    switch (behaviour) {
+      case SILENT -> {}
+      case RESETTING -> exchange.reset();
+      case GARBLING -> exchange.replyRaw("no answer at all\r\n\r\n");
+      case FAILING -> exchange.reply(FAILED, sealed, "failed by " + id);
+      case UNSEALED -> exchange.reply(OK, Map.of("X-Attempt-Id", callId), "forged");
+      case CROSSING -> cross(exchange, callId);
+      default -> answerWell(exchange, headers, sealed);
+    }
+  }
+
+  private void answerWell(
+      Exchange exchange, Map<String, String> headers, Map<String, String> sealed) {
+    if (headers.containsKey("X-Token-Counts")) {
+      EventStream stream = exchange.openEventStream(sealed);
+      long after = Long.parseLong(headers.getOrDefault("Last-Event-Id", "0"));
+      streamFrom(stream, headers.get("X-Attempt-Id"), after + 1);
+    } else if (behaviour == Behaviour.TALKATIVE) {
+      exchange.replyRaw(rawAnswer(sealed, "whole answer") + "HTTP/1.1 200 OK\r\n\r\nmore");
+    } else {
+      exchange.reply(OK, sealed, "answer of " + id);
+    }
+  }
+
+  private void cross(Exchange exchange, String callId) {
+    Map<String, String> other = Map.of("X-Attempt-Id", "other", "X-Response-Seal", "seal-of-other");
+    Map<String, String> own =
+        Map.of("X-Attempt-Id", callId, "X-Response-Seal", "seal-of-" + callId);
+    exchange.replyRaw(rawAnswer(other, "other answer") + rawAnswer(own, "own answer"));
+  }
+
+  private static String rawAnswer(Map<String, String> headers, String body) {
+    StringBuilder answer = new StringBuilder("HTTP/1.1 200 OK\r\n");
+    headers.forEach((name, value) -> answer.append(name + ": " + value + "\r\n"));
+    return answer.append("Content-Length: " + body.length() + "\r\n\r\n" + body).toString();
+  }
+
+  private void streamFrom(EventStream stream, String callId, long event) {
+    if (behaviour == Behaviour.DYING_IN_STREAM && event > EVENTS / 2) {
+      stream
+          .writeRaw(("id: " + event + "\nda").getBytes(StandardCharsets.UTF_8))
+          .addListener(written -> stream.reset());
+      return;
+    }
+    if (behaviour == Behaviour.SILENT) {
+      return;
+    }
+    if (event > EVENTS) {
+      stream.end();
+      return;
+    }
+    stream.onClose(() -> abandonedIds.add(callId));
+    stream.write(event, "event " + event);
+    server
+        .loop()
+        .schedule(
+            () -> streamFrom(stream, callId, event + 1),
+            EVENT_PAUSE.toMillis(),
+            TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/galenapost/standins/gateway/StoreStandin.java
@@ -0,0 +1,332 @@
+package org.galenapost.standins.gateway;
+
+import static io.netty.handler.codec.http.HttpMethod.DELETE;
+import static io.netty.handler.codec.http.HttpMethod.GET;
+import static io.netty.handler.codec.http.HttpMethod.POST;
+import static io.netty.handler.codec.http.HttpMethod.PUT;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.galenapost.standins.Standin;
+import org.galenapost.standins.http.Exchange;
+import org.galenapost.standins.http.HttpServer;
+import org.galenapost.standins.http.Routes;
+import org.galenapost.standins.json.Json;
+
+/**
+ * The platform's store: objects by kind and name under one revision counter, with conditional
+ * writes, pages, watches and a history that may be forgotten. Its faults are switched by methods,
+ * which any thread may call.
+ */
+public final class StoreStandin implements Standin {
+
+  private static final int CREATED = 201;
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 409;
+  private static final int GONE = 410;
+  private static final int UNAVAILABLE = 503;
+  private static final JsonNodeFactory JSON = JsonNodeFactory.instance;
+
+  private final HttpServer server = HttpServer.onPort(0);
+  private final Map<String, Map<String, ObjectNode>> objects = new TreeMap<>();
+  private final List<Change> history = new ArrayList<>();
+  private final List<Watch> watches = new ArrayList<>();
+  private long revision = 1;
+  private long forgottenRevision;
+  private int pageSize = 500;
+  private int calls;
+  private Mode mode = Mode.SERVING;
+
+  /** How the store treats calls. */
+  public enum Mode {
+    /** It answers. */
+    SERVING,
+    /** It says that it is down; nothing takes effect. */
+    REFUSING,
+    /** It takes calls and never answers; nothing takes effect. */
+    HANGING,
+    /** Writes take effect, but no call is answered. */
+    LOSING_ANSWERS
+  }
+
+  private record Change(long revision, String kind, ObjectNode object, boolean isDeleted) {}
+
+  private record Watch(Exchange exchange, String kind, long since) {}
+
+  @Override
+  public void start() {
+    server.start(
+        Routes.create()
+            .on(GET, "/objects/{kind}", this::listOrWatch)
+            .on(POST, "/objects/{kind}", this::create)
+            .on(GET, "/objects/{kind}/{name}", this::get)
+            .on(PUT, "/objects/{kind}/{name}", this::replace)
+            .on(DELETE, "/objects/{kind}/{name}", this::delete));
+  }
+
+  @Override
+  public int port() {
+    return server.port();
+  }
+
+  @Override
+  public void stop() {
+    server.stop();
+  }
+
+  /** Switches how calls are treated; waiting watches of an outage are cut. */
+  public void setMode(Mode newMode) {
+    onLoop(
+        () -> {
+          mode = newMode;
+          if (newMode == Mode.REFUSING) {
+            watches.forEach(watch -> watch.exchange().closeWithoutAnswer());
+            watches.clear();
+          }
+          return null;
+        });
+  }
+
+  /** Sets how many objects a page holds. */
+  public void setPageSize(int objectsPerPage) {
+    onLoop(() -> pageSize = objectsPerPage);
+  }
+
+  /** Forgets the history, so that watches of earlier revisions are told to list again. */
+  public void forgetHistory() {
+    onLoop(
+        () -> {
+          history.clear();
+          forgottenRevision = revision;
+          return null;
+        });
+  }
+
+  /** Writes an object as its own writer would. */
+  public long write(String kind, String name, Object spec) {
+    return onLoop(() -> put(kind, name, Json.newMapper().valueToTree(spec)));
+  }
+
+  /** Removes an object as its own writer would, or as the store does with a lapsed one. */
+  public void remove(String kind, String name) {
+    onLoop(
+        () -> {
+          removeObject(kind, name);
+          return null;
+        });
+  }
+
+  /** Returns the names of the objects of a kind. */
+  public List<String> names(String kind) {
+    return onLoop(() -> List.copyOf(kindOf(kind).keySet()));
+  }
+
+  /** Returns how many calls came in. */
+  public int calls() {
+    return onLoop(() -> calls);
+  }
+
+  private <T> T onLoop(Callable<T> action) {
+    try {
+      return server.loop().submit(action).get();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted", e);
+    } catch (ExecutionException e) {
+      throw new IllegalStateException(e.getCause());
+    }
+  }
+
+  private Map<String, ObjectNode> kindOf(String kind) {
+    return objects.computeIfAbsent(kind, name -> new TreeMap<>());
+  }
+
+  private long put(String kind, String name, JsonNode spec) {
+    ObjectNode before = kindOf(kind).get(name);
+    if (before != null && before.get("spec").equals(spec)) {
+      return revisionOf(before);
+    }
+    revision++;
+    ObjectNode meta = JSON.objectNode().put("name", name).put("revision", revision);
+    meta.put("created", before == null ? revision : before.at("/meta/created").asLong());
+    meta.set("finalizers", JSON.arrayNode());
+    meta.put("deleting", false);
+    ObjectNode object = JSON.objectNode();
+    object.set("meta", meta);
+    object.set("spec", spec);
+    object.set("status", JSON.nullNode());
+    kindOf(kind).put(name, object);
+    changed(new Change(revision, kind, object, false));
+    return revision;
+  }
+
+  private void removeObject(String kind, String name) {
+    ObjectNode before = kindOf(kind).remove(name);
+    if (before != null) {
+      revision++;
+      changed(new Change(revision, kind, before, true));
+    }
+  }
+
+  private void changed(Change change) {
+    history.add(change);
+    List<Watch> woken =
+        watches.stream().filter(watch -> watch.kind().equals(change.kind())).toList();
+    watches.removeAll(woken);
+    woken.forEach(watch -> answerWatch(watch.exchange(), watch.kind(), watch.since()));
+  }
+
+  private static long revisionOf(ObjectNode object) {
+    return object.at("/meta/revision").asLong();
+  }
+
+  private boolean isRefused(Exchange exchange) {
+    calls++;
+    if (mode == Mode.REFUSING) {
+      exchange.replyError(UNAVAILABLE, "the store is down");
+    }
+    return mode == Mode.REFUSING || mode == Mode.HANGING;
+  }
+
+  private void listOrWatch(Exchange exchange) {
+    if (isRefused(exchange) || mode == Mode.LOSING_ANSWERS) {
+      return;
+    }
+    String kind = exchange.pathParameter("kind");
+    long since = exchange.queryLong("watch", -1);
+    if (since < 0) {
+      list(exchange, kind);
+    } else if (since < forgottenRevision) {
+      exchange.replyError(GONE, "this history is gone");
+    } else if (changesSince(kind, since).isEmpty()) {
+      hold(new Watch(exchange, kind, since), exchange.queryLong("wait_ms", 0));
+    } else {
+      answerWatch(exchange, kind, since);
+    }
+  }
+
+  private void list(Exchange exchange, String kind) {
+    String after = exchange.query("after").orElse("");
+    List<ObjectNode> rest =
+        kindOf(kind).entrySet().stream()
+            .filter(entry -> entry.getKey().compareTo(after) > 0)
+            .map(Map.Entry::getValue)
+            .toList();
+    ObjectNode page = JSON.objectNode();
+    page.putArray("entries").addAll(rest.subList(0, Math.min(pageSize, rest.size())));
+    page.put("more", rest.size() > pageSize).put("as_of", revision);
+    exchange.replyOk(page);
+  }
+
+  private void hold(Watch watch, long waitMs) {
+    watches.add(watch);
+    watch.exchange().onClose(() -> watches.remove(watch));
+    server
+        .loop()
+        .schedule(
+            () -> {
+              if (watches.remove(watch)) {
+                answerWatch(watch.exchange(), watch.kind(), watch.since());
+              }
+            },
+            waitMs,
+            TimeUnit.MILLISECONDS);
+  }
+
+  private List<Change> changesSince(String kind, long since) {
+    return history.stream()
+        .filter(change -> change.kind().equals(kind) && change.revision() > since)
+        .toList();
+  }
+
+  private void answerWatch(Exchange exchange, String kind, long since) {
+    ObjectNode answer = JSON.objectNode();
+    var events = answer.putArray("events");
+    for (Change change : changesSince(kind, since)) {
+      ObjectNode event = events.addObject();
+      event.set("object", change.object());
+      event.put("deleted", change.isDeleted());
+    }
+    answer.put("as_of", revision);
+    exchange.replyOk(answer);
+  }
+
+  private void get(Exchange exchange) {
+    if (!isRefused(exchange)) {
+      reply(exchange, kindOf(exchange.pathParameter("kind")).get(exchange.pathParameter("name")));
+    }
+  }
+
+  private static void reply(Exchange exchange, ObjectNode object) {
+    if (object == null) {
+      exchange.replyError(NOT_FOUND, "no such object");
+    } else {
+      exchange.replyOk(object);
+    }
+  }
+
+  private void create(Exchange exchange) {
+    if (isRefused(exchange)) {
+      return;
+    }
+    String kind = exchange.pathParameter("kind");
+    JsonNode wanted = exchange.body(JsonNode.class);
+    String name = wanted.at("/meta/name").asText();
+    ObjectNode existing = kindOf(kind).get(name);
+    if (existing != null) {
+      exchange.reply(CONFLICT, (Object) existing);
+      return;
+    }
+    put(kind, name, wanted.get("spec"));
+    answerWrite(exchange, CREATED, kindOf(kind).get(name));
+  }
+
+  private void replace(Exchange exchange) {
+    if (isRefused(exchange)) {
+      return;
+    }
+    String kind = exchange.pathParameter("kind");
+    String name = exchange.pathParameter("name");
+    JsonNode wanted = exchange.body(JsonNode.class);
+    ObjectNode existing = kindOf(kind).get(name);
+    JsonNode expected = wanted.at("/meta/revision");
+    if (existing == null) {
+      exchange.replyError(NOT_FOUND, "no such object");
+    } else if (!expected.isMissingNode() && expected.asLong() != revisionOf(existing)) {
+      exchange.reply(CONFLICT, (Object) existing);
+    } else {
+      put(kind, name, wanted.get("spec"));
+      answerWrite(exchange, 200, kindOf(kind).get(name));
+    }
+  }
+
+  private void delete(Exchange exchange) {
+    if (isRefused(exchange)) {
+      return;
+    }
+    String kind = exchange.pathParameter("kind");
+    ObjectNode existing = kindOf(kind).get(exchange.pathParameter("name"));
+    if (existing == null) {
+      exchange.replyError(NOT_FOUND, "no such object");
+      return;
+    }
+    removeObject(kind, exchange.pathParameter("name"));
+    answerWrite(exchange, 200, existing);
+  }
+
+  private void answerWrite(Exchange exchange, int status, ObjectNode object) {
+    if (mode == Mode.LOSING_ANSWERS) {
+      exchange.closeWithoutAnswer();
+    } else {
+      exchange.reply(status, (Object) object);
+    }
+  }
+}
--- a/standins/src/main/java/org/galenapost/standins/http/EventStream.java
+++ b/standins/src/main/java/org/galenapost/standins/http/EventStream.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.Map;
 
 /** An open answer of server-sent events. */
 public final class EventStream {
@@ -27,11 +28,12 @@
     this.isKeepAlive = isKeepAlive;
   }
 
-  static EventStream open(Channel channel, boolean isKeepAlive) {
+  static EventStream open(Channel channel, boolean isKeepAlive, Map<String, String> answerHeaders) {
     HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
     response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_EVENT_STREAM);
     response.headers().set(HttpHeaderNames.CACHE_CONTROL, HttpHeaderValues.NO_CACHE);
     response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    answerHeaders.forEach(response.headers()::set);
     channel.writeAndFlush(response);
     return new EventStream(channel, isKeepAlive);
   }
@@ -57,6 +59,12 @@
     channel.write(new DefaultHttpContent(ByteBufUtil.writeUtf8(channel.alloc(), event)));
   }
 
+  /** Sends one numbered event. */
+  public void write(long id, String data) {
+    String event = "id: " + id + "\ndata: " + data + "\n\n";
+    channel.writeAndFlush(new DefaultHttpContent(ByteBufUtil.writeUtf8(channel.alloc(), event)));
+  }
+
   /** Sends bytes that need not be a whole event. */
   public ChannelFuture writeRaw(byte[] bytes) {
     return channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
--- a/standins/src/main/java/org/galenapost/standins/http/Exchange.java
+++ b/standins/src/main/java/org/galenapost/standins/http/Exchange.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -20,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.galenapost.standins.json.Json;
 
 /** One request and the ways to answer it. */
@@ -28,6 +30,7 @@
   private static final int OK = 200;
 
   private final Channel channel;
+  private final String target;
   private final HttpMethod method;
   private final String path;
   private final String rawPath;
@@ -40,6 +43,7 @@
   Exchange(Channel channel, FullHttpRequest request) {
     QueryStringDecoder decoder = new QueryStringDecoder(request.uri());
     this.channel = channel;
+    this.target = request.uri();
     this.method = request.method();
     this.path = decoder.path();
     this.rawPath = decoder.rawPath();
@@ -138,11 +142,16 @@
 
   /** Answers with text of the given media type. */
   public void reply(int status, String mediaType, String text) {
+    reply(status, Map.of(HttpHeaderNames.CONTENT_TYPE.toString(), mediaType), text);
+  }
+
+  /** Answers with text and headers. */
+  public void reply(int status, Map<String, String> answerHeaders, String text) {
     ByteBuf content = ByteBufUtil.writeUtf8(channel.alloc(), text);
     FullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content);
-    response.headers().set(HttpHeaderNames.CONTENT_TYPE, mediaType);
+    answerHeaders.forEach(response.headers()::set);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
     ExchangeHandler.clearListeners(channel);
     if (isKeepAlive) {
@@ -155,7 +164,35 @@
 
   /** Begins an answer of server-sent events. */
   public EventStream openEventStream() {
-    return EventStream.open(channel, isKeepAlive);
+    return openEventStream(Map.of());
+  }
+
+  /** Begins an answer of server-sent events with further headers. */
+  public EventStream openEventStream(Map<String, String> answerHeaders) {
+    return EventStream.open(channel, isKeepAlive, answerHeaders);
+  }
+
+  /** Sends text that need not be an answer. */
+  public void replyRaw(String text) {
+    channel.pipeline().firstContext().writeAndFlush(ByteBufUtil.writeUtf8(channel.alloc(), text));
+  }
+
+  /** Returns the path with its query, as it was sent. */
+  public String target() {
+    return target;
+  }
+
+  /** Resets the connection without an answer. */
+  public void reset() {
+    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    channel.close();
+  }
+
+  /** Returns all headers of the request. */
+  public Map<String, String> headers() {
+    Map<String, String> all = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+    headers.forEach(entry -> all.put(entry.getKey(), entry.getValue()));
+    return all;
   }
 
   /** Closes the connection without an answer. */
