--- /dev/null
+++ b/core/src/test/java/org/galenapost/core/dispatch/UseLedgerProperties.java
@@ -0,0 +1,68 @@
+package org.galenapost.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.galenapost.core.instance.InstanceKey;
+import org.galenapost.core.instance.ServerInstance;
+
+class UseLedgerProperties {
+
+  private static final ServerInstance SERVER =
+      new ServerInstance("i1", 1, "s", "10.0.0.1", 80, "dc1", 6, false);
+  private static final InstanceKey KEY = SERVER.key();
+
+  @Property
+  void totalsAreWhatAllDaemonsHaveInHand(
+      @ForAll @Size(max = 20) List<@IntRange(min = 0, max = 3) Integer> steps) {
+    UseLedger own = new UseLedger();
+    UseLedger other = new UseLedger();
+    List<UseLedger.Use> ownUses = new ArrayList<>();
+    List<UseLedger.Use> otherUses = new ArrayList<>();
+    for (int step : steps) {
+      switch (step) {
+        case 0 -> ownUses.add(own.begin(KEY, new ServerUse(1, 100, 150)));
+        case 1 -> otherUses.add(other.begin(KEY, new ServerUse(1, 200, 250)));
+        case 2 -> end(ownUses);
+        default -> end(otherUses);
+      }
+      own.accept("d2", other.report());
+    }
+
+    ServerUse expected =
+        new ServerUse(
+            ownUses.size() + otherUses.size(),
+            100L * ownUses.size() + 200L * otherUses.size(),
+            150L * ownUses.size() + 250L * otherUses.size());
+    assertThat(own.total(SERVER)).isEqualTo(expected);
+    own.keepOnly(Set.of());
+    assertThat(own.total(SERVER).calls()).isEqualTo(ownUses.size());
+  }
+
+  @Property(tries = 1)
+  void reportsOnlyWhatChanged() {
+    UseLedger ledger = new UseLedger();
+    UseLedger.Use use = ledger.begin(KEY, new ServerUse(1, 100, 150));
+
+    assertThat(ledger.takeReport()).hasSize(1);
+    assertThat(ledger.takeReport()).isEmpty();
+    use.promptRead();
+    assertThat(ledger.total(SERVER)).isEqualTo(new ServerUse(1, 0, 150));
+    use.end();
+    use.end();
+    assertThat(ledger.takeReport()).containsExactly(new UseReport(List.of()));
+    assertThat(ledger.total(SERVER)).isEqualTo(ServerUse.NONE);
+  }
+
+  private static void end(List<UseLedger.Use> uses) {
+    if (!uses.isEmpty()) {
+      uses.remove(0).end();
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/galenapost/core/instance/InstanceDirectoryTest.java
@@ -0,0 +1,124 @@
+package org.galenapost.core.instance;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.galenapost.core.configuration.ConfigurationKind;
+import org.galenapost.core.configuration.ConfigurationRecord;
+import org.galenapost.core.json.Json;
+import org.galenapost.core.platform.PlatformReach;
+import org.galenapost.core.testing.VirtualTime;
+import org.junit.jupiter.api.Test;
+
+class InstanceDirectoryTest {
+
+  private static final Duration LAPSED_USE = Duration.ofMillis(1_500);
+
+  private final VirtualTime time = new VirtualTime();
+  private final PlatformReach reach = new PlatformReach(time, isReached -> {});
+  private final List<InstanceChange.Kind> changes = new ArrayList<>();
+  private final InstanceDirectory directory =
+      new InstanceDirectory(time, reach, LAPSED_USE, change -> changes.add(change.kind()));
+  private long revision;
+
+  @Test
+  void givesNoNewWorkToLeavingServers() {
+    announce(server("i1", 1, false));
+    announce(server("i1", 1, true));
+
+    assertThat(directory.ready("s")).isEmpty();
+    assertThat(directory.lapsed("s")).isEmpty();
+    assertThat(changes).containsExactly(InstanceChange.Kind.APPEARED, InstanceChange.Kind.LEAVING);
+  }
+
+  @Test
+  void usesServersWhoseEntryIsGoneAsLastResortForAShortTime() {
+    announce(server("i1", 1, false));
+    remove("i1");
+
+    assertThat(directory.ready("s")).isEmpty();
+    assertThat(directory.lapsed("s")).hasSize(1);
+
+    time.advance(LAPSED_USE);
+    assertThat(directory.lapsed("s")).isEmpty();
+  }
+
+  @Test
+  void waitsForEntriesThatLapsedDuringAnOutageToReturn() {
+    announce(server("i1", 1, false));
+    reach.failed();
+    time.advance(Duration.ofSeconds(6));
+    reach.answered();
+    remove("i1");
+
+    time.advance(Duration.ofMillis(2_000));
+    assertThat(directory.lapsed("s")).as("two seconds after the return").hasSize(1);
+
+    time.advance(Duration.ofMillis(300));
+    assertThat(directory.lapsed("s")).as("later").isEmpty();
+  }
+
+  @Test
+  void holdsALeaveNoticedBeforeAnOutageAlsoDuringIt() {
+    announce(server("i1", 1, false));
+    remove("i1");
+    reach.failed();
+
+    time.advance(LAPSED_USE);
+
+    assertThat(directory.lapsed("s")).isEmpty();
+  }
+
+  @Test
+  void takesAReturnedEntryBack() {
+    announce(server("i1", 1, false));
+    remove("i1");
+    announce(server("i1", 1, false));
+
+    assertThat(directory.ready("s")).hasSize(1);
+  }
+
+  @Test
+  void tellsStartsOfOneServerApart() {
+    announce(server("i1", 1, false));
+    directory.markReplaced(server("i1", 1, false));
+    assertThat(directory.ready("s")).isEmpty();
+
+    announce(server("i1", 2, false));
+
+    assertThat(directory.ready("s"))
+        .extracting(ServerInstance::startedAtEpochMs)
+        .containsExactly(2L);
+  }
+
+  @Test
+  void forgetsWhatIsGone() {
+    announce(server("i1", 1, false));
+    remove("i1");
+    time.advance(LAPSED_USE);
+
+    directory.forgetGone();
+
+    assertThat(directory.size()).isZero();
+    assertThat(directory.keys()).isEmpty();
+  }
+
+  private static ServerInstance server(String id, long startedAt, boolean isLeaving) {
+    return new ServerInstance(id, startedAt, "s", "10.0.0.1", 80, "dc1", 6, isLeaving);
+  }
+
+  private void announce(ServerInstance instance) {
+    accept(instance.id(), Optional.of(Json.write(instance)));
+  }
+
+  private void remove(String id) {
+    accept(id, Optional.empty());
+  }
+
+  private void accept(String id, Optional<String> json) {
+    directory.accept(new ConfigurationRecord(ConfigurationKind.INSTANCE, id, ++revision, json));
+  }
+}
