--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/GatewayMeters.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/GatewayMeters.java
@@ -56,11 +56,11 @@
     timer("galenapost.gateway.resume", "copy", Boolean.toString(isFromCopy)).record(wait);
   }
 
-  /** Counts a call that ended, with the time to the first byte of its answer. */
-  void ended(CallKind kind, int status, Duration toFirstByte) {
+  /** Counts a call that ended, with the time from its request to the end of its answer. */
+  void ended(CallKind kind, int status, Duration elapsed) {
     String kindName = kind.name().toLowerCase(Locale.ROOT);
-    timer("galenapost.gateway.first.byte", "kind", kindName, "status", Integer.toString(status))
-        .record(toFirstByte);
+    timer("galenapost.gateway.calls", "kind", kindName, "status", Integer.toString(status))
+        .record(elapsed);
   }
 
   /** Counts a refusal under its reason and verdict. */
