--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -2,10 +2,12 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.random.RandomGenerator;
 import org.galenapost.core.configuration.ConfigurationFollower;
@@ -85,13 +87,16 @@
   private final DaemonMetrics metrics = new DaemonMetrics();
   private final PendingWork calls = new PendingWork();
   private final List<Service> services = new ArrayList<>();
+  private final Optional<ServerSocketChannel> callerSocket;
   private final CallFormat format;
   private final PlatformHttpClient client;
   private final ObjectStore store;
   private final TcpPeerBus bus;
 
-  private GatewayBuilder(GatewaySettings settings, GatewayAdapter adapter) {
+  private GatewayBuilder(
+      GatewaySettings settings, GatewayAdapter adapter, Optional<ServerSocketChannel> caller) {
     this.settings = settings;
+    this.callerSocket = caller;
     this.format = adapter.callFormat();
     this.client =
         new PlatformHttpClient(settings.platform(), new PlatformCircuit(clock), eventLoops.group());
@@ -99,9 +104,15 @@
     this.bus = new TcpPeerBus(settings.daemon().id(), settings.peer(), eventLoops.group());
   }
 
-  /** Builds a gateway. */
+  /** Builds a gateway that binds every address when it starts. */
   public static GatewayDaemon build(GatewaySettings settings, GatewayAdapter adapter) {
-    return new GatewayBuilder(settings, adapter).build();
+    return new GatewayBuilder(settings, adapter, Optional.empty()).build();
+  }
+
+  /** Builds a gateway whose callers may connect to an open socket already. */
+  public static GatewayDaemon build(
+      GatewaySettings settings, GatewayAdapter adapter, ServerSocketChannel callerSocket) {
+    return new GatewayBuilder(settings, adapter, Optional.of(callerSocket)).build();
   }
 
   private GatewayDaemon build() {
@@ -133,11 +144,19 @@
     GatewayContext context = context(directory, guards);
     Intake intake = new Intake(format, routes::current, state, random::nextDouble);
     GatewayFront front = new GatewayFront(context, intake, routes::current, state, calls);
-    HttpListener caller = listener("caller", settings.caller().address().toSocketAddress(), front);
+    HttpListener caller =
+        new HttpListener(
+            "caller",
+            settings.caller().address().toSocketAddress(),
+            callerSocket,
+            eventLoops.group(),
+            WRITE_BUFFER_BYTES,
+            front);
     HttpListener operator = operator(state);
     HttpListener readiness = readiness(state);
     services.add(operator);
-    services.add(caller);
+    services.add(
+        callerSocket.isPresent() ? new CallerGate(caller, state, scheduler, clock) : caller);
     services.add(readiness);
     addGauges(front, directory, context);
     DrainSequence drain = drain(state, front, caller);
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayLog.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayLog.java
@@ -5,6 +5,7 @@
 import org.galenapost.core.instance.InstanceChange;
 import org.galenapost.core.route.RouteTable;
 import org.galenapost.daemon.log.EventLog;
+import org.galenapost.daemon.settings.GatewaySettings;
 
 /** Writes what the gateway comes to believe of its surroundings. */
 final class GatewayLog {
@@ -13,6 +14,23 @@
 
   private GatewayLog() {}
 
+  static void started(GatewaySettings settings, GatewayDaemon daemon) {
+    LOG.info("started")
+        .with("daemon", settings.daemon().id())
+        .with("data_centre", settings.daemon().dataCentre())
+        .with("caller_port", daemon.callerPort())
+        .with("peer_port", daemon.peerPort())
+        .write();
+  }
+
+  static void shutdownRequested() {
+    LOG.info("shutdown_requested").write();
+  }
+
+  static void stopped() {
+    LOG.info("stopped").write();
+  }
+
   static void storeReached(boolean isReached) {
     if (isReached) {
       LOG.info("dependency_regained").with("dependency", "platform-store").write();
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayProgram.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayProgram.java
@@ -3,13 +3,15 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.io.PrintStream;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.util.List;
 import org.apache.logging.log4j.LogManager;
 import org.galenapost.daemon.ExitCode;
 import org.galenapost.daemon.lifecycle.Signals;
-import org.galenapost.daemon.log.EventLog;
 import org.galenapost.daemon.service.ServiceStartException;
 import org.galenapost.daemon.settings.GatewaySettings;
 import org.galenapost.daemon.settings.SettingsFault;
@@ -17,7 +19,7 @@
 /** Runs a gateway as a program. */
 public final class GatewayProgram {
 
-  private static final EventLog LOG = EventLog.of(GatewayProgram.class);
+  private static final int ACCEPT_BACKLOG = 1_024;
   private static final String PROGRAM = "galenapost-gateway";
 
   /** Told apart from success, after which the gateway goes on serving. */
@@ -93,7 +95,14 @@
   }
 
   private int serve(Path file, GatewaySettings settings) {
-    GatewayDaemon daemon = GatewayBuilder.build(settings, adapter);
+    ServerSocketChannel callerSocket;
+    try {
+      callerSocket = bindCaller(settings);
+    } catch (IOException e) {
+      err.println(PROGRAM + ": cannot listen for callers: " + e.getMessage());
+      return ExitCode.START_FAILED;
+    }
+    GatewayDaemon daemon = GatewayBuilder.build(settings, adapter, callerSocket);
     SettingsReload reload = new SettingsReload(file, settings, daemon::reload);
     Signals.handle("HUP", reload::onSignal);
     try {
@@ -104,19 +113,24 @@
     }
     reload.start();
     Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(daemon), "shutdown"));
-    LOG.info("started")
-        .with("daemon", settings.daemon().id())
-        .with("data_centre", settings.daemon().dataCentre())
-        .with("caller_port", daemon.callerPort())
-        .with("peer_port", daemon.peerPort())
-        .write();
+    GatewayLog.started(settings, daemon);
     return ExitCode.SUCCESS;
   }
 
+  /**
+   * Binds the callers' address before anything else is set up, logging included: a caller whose
+   * connection waits is served a moment later, one whose connection is refused goes away.
+   */
+  private static ServerSocketChannel bindCaller(GatewaySettings settings) throws IOException {
+    ServerSocketChannel socket = ServerSocketChannel.open();
+    socket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+    return socket.bind(settings.caller().address().toSocketAddress(), ACCEPT_BACKLOG);
+  }
+
   private static void shutDown(GatewayDaemon daemon) {
-    LOG.info("shutdown_requested").write();
+    GatewayLog.shutdownRequested();
     daemon.drainAndStop();
-    LOG.info("stopped").write();
+    GatewayLog.stopped();
     LogManager.shutdown();
     Runtime.getRuntime().halt(ExitCode.SUCCESS);
   }
--- a/daemon/src/main/java/org/galenapost/daemon/http/HttpListener.java
+++ b/daemon/src/main/java/org/galenapost/daemon/http/HttpListener.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -10,7 +11,11 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.util.Optional;
 import org.galenapost.daemon.service.Service;
 import org.galenapost.daemon.service.ServiceStartException;
 
@@ -23,6 +28,7 @@
   private final InetSocketAddress address;
   private final ServerBootstrap bootstrap;
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final Optional<ServerSocketChannel> socket;
   private volatile Channel server;
 
   /**
@@ -40,12 +46,32 @@
       EventLoopGroup eventLoops,
       int writeBufferBytes,
       PipelineSetup pipeline) {
+    this(role, address, Optional.empty(), eventLoops, writeBufferBytes, pipeline);
+  }
+
+  /**
+   * Creates a listener that takes an open socket over; connections wait there until it starts.
+   *
+   * @param role the name used in logs, such as {@code caller}
+   * @param address the address to bind; port 0 lets the system choose
+   * @param socket a socket that is bound already, in place of the address
+   * @param eventLoops the threads that serve it
+   * @param writeBufferBytes the unsent bytes from which a connection counts as blocked
+   * @param pipeline sets up each connection
+   */
+  public HttpListener(
+      String role,
+      InetSocketAddress address,
+      Optional<ServerSocketChannel> socket,
+      EventLoopGroup eventLoops,
+      int writeBufferBytes,
+      PipelineSetup pipeline) {
     this.role = role;
     this.address = address;
+    this.socket = socket;
     this.bootstrap =
         new ServerBootstrap()
             .group(eventLoops)
-            .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
@@ -73,15 +99,36 @@
   @Override
   public void start() {
     try {
-      server = bootstrap.bind(address).syncUninterruptibly().channel();
+      server = open().syncUninterruptibly().channel();
     } catch (Exception e) {
       throw ServiceStartException.cannotListen(role, address, e);
     }
   }
 
+  /**
+   * Starts a listener with an open socket from an event loop, which must not wait for itself.
+   *
+   * @throws IllegalStateException if there is no open socket
+   */
+  public void startLater() {
+    if (socket.isEmpty()) {
+      throw new IllegalStateException("only a listener with an open socket may start later");
+    }
+    server = open().channel();
+  }
+
+  private ChannelFuture open() {
+    if (socket.isPresent()) {
+      return bootstrap.channelFactory(() -> new NioServerSocketChannel(socket.get())).register();
+    }
+    return bootstrap.channel(NioServerSocketChannel.class).bind(address);
+  }
+
   /** Returns the port in use. */
   public int port() {
-    return ((InetSocketAddress) server.localAddress()).getPort();
+    return socket.isPresent()
+        ? socket.get().socket().getLocalPort()
+        : ((InetSocketAddress) server.localAddress()).getPort();
   }
 
   /** Returns the number of open connections. */
@@ -94,6 +141,16 @@
     Channel bound = server;
     if (bound != null) {
       bound.close().awaitUninterruptibly();
+    } else {
+      socket.ifPresent(HttpListener::close);
+    }
+  }
+
+  private static void close(ServerSocketChannel socket) {
+    try {
+      socket.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException("a listening socket did not close", e);
     }
   }
 
