--- a/core/src/main/java/org/galenapost/core/dispatch/SendBudget.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/SendBudget.java
@@ -42,7 +42,7 @@
     Window window = window(service);
     double allowed =
         settings.ratio() * window.sum(window.firstSends)
-            + (double) settings.extraSends() / Math.max(1, daemons);
+            + settings.extraSends() / Math.max(1, daemons);
     if (window.sum(window.retries) + 1 > allowed) {
       return false;
     }
@@ -100,5 +100,5 @@
    * @param window the length of the sliding window
    * @param extraSends the retries that all daemons together may add beyond the ratio, per window
    */
-  public record SendBudgetSettings(double ratio, Duration window, int extraSends) {}
+  public record SendBudgetSettings(double ratio, Duration window, double extraSends) {}
 }
--- a/daemon/src/main/java/org/galenapost/daemon/settings/SectionReader.java
+++ b/daemon/src/main/java/org/galenapost/daemon/settings/SectionReader.java
@@ -20,6 +20,7 @@
 
   private static final String PLACEHOLDER_IP = "127.0.0.1";
   private static final int MAX_PORT = 65_535;
+  private static final int MILLIS_PER_SECOND = 1_000;
 
   private final String path;
   private final JsonNode node;
@@ -121,6 +122,16 @@
         number(key, defaultMs, min.toMillis(), max.toMillis(), "a time in milliseconds"));
   }
 
+  /** Reads a time in seconds, which may have a fraction. */
+  Duration durationSeconds(String key, Duration defaultValue, Duration min, Duration max) {
+    double seconds = decimal(key, toSeconds(defaultValue), toSeconds(min), toSeconds(max));
+    return Duration.ofMillis(Math.round(seconds * MILLIS_PER_SECOND));
+  }
+
+  private static double toSeconds(Duration duration) {
+    return (double) duration.toMillis() / MILLIS_PER_SECOND;
+  }
+
   private long number(
       String key, Optional<Long> defaultValue, long min, long max, String description) {
     JsonNode child = child(key);
@@ -200,9 +211,11 @@
     return child.isArray() ? child : List.of();
   }
 
+  /** Returns the value of a key; a key without a value counts as absent. */
   private JsonNode child(String key) {
     knownKeys.add(key);
-    return node.path(key);
+    JsonNode child = node.path(key);
+    return child.isNull() ? MissingNode.getInstance() : child;
   }
 
   private String pathOf(String key) {
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakDaemon.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakDaemon.java
@@ -45,7 +45,7 @@
       operator: {ip: 127.0.0.1, port: %d, token: operator-token-of-the-soak}
       peer: {address: "127.0.0.1:%d", secret: peer-secret-of-the-soak, seeds: [%s]}
       platform: {address: "127.0.0.1:%d", request_timeout_ms: 1000, watch_wait_ms: 2000}
-      repeats: {ratio: 0.8, window_ms: 10000, extra_sends: 150}
+      repeats: {ratio: 0.8, window_s: 10, extra_sends: 150}
       timings: {drain_notice_ms: 2200, drain_limit_ms: 5500}
       """;
 
