Serve waiting connections, notice stalled streams, reuse no service connection

Change: a listener accepts until two passes of its event loop bring nothing, half a second at most, before it closes; only complete events are progress of a stream, and an oversized event is a malformed response instead of an exception; each call of a plain service has a connection of its own.

Ruled out: a slow but sound stream (650 ms between events) stays on its server, now as before. The gateway compares the id of each answer and was not affected by late copies.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/Attempt.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/Attempt.java
@@ -161,11 +161,11 @@
   public void onHead(ResponseHead answerHead) {
     head = answerHead;
     noteWishes();
-    silenceDetector.ifPresent(SilenceDetector::onBytes);
     boolean isEventStream = head.isSuccess() && head.isStream() && head.isSigned();
     if (isEventStream) {
       splitter = new EventSplitter();
     } else {
+      silenceDetector.ifPresent(SilenceDetector::onProgress);
       body = Unpooled.buffer();
     }
   }
@@ -186,8 +186,8 @@
     if (isEnded) {
       return;
     }
-    silenceDetector.ifPresent(SilenceDetector::onBytes);
     if (splitter == null) {
+      silenceDetector.ifPresent(SilenceDetector::onProgress);
       appendToBody(part);
     } else {
       relayEvents(part);
@@ -204,7 +204,10 @@
 
   private void relayEvents(ByteBuf part) {
     long previousCount = eventCount;
-    splitter.add(part);
+    if (!splitter.add(part)) {
+      fail(SendFailure.malformed("an event exceeds " + EventSplitter.MAX_EVENT_BYTES + " bytes"));
+      return;
+    }
     for (ByteBuf event = splitter.next(); event != null; event = splitter.next()) {
       EventRelay.RelayResult result = relay.relay(head, event, context.clock().nanos());
       if (result == EventRelay.RelayResult.OUT_OF_ORDER) {
@@ -214,6 +217,8 @@
       eventCount++;
     }
     if (eventCount > previousCount) {
+      // Comments and parts of events are no progress: a stalled server may send them forever.
+      silenceDetector.ifPresent(SilenceDetector::onProgress);
       reservation.markPromptProcessed();
       hasNewEvents = true;
     }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/EventSplitter.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/EventSplitter.java
@@ -12,7 +12,7 @@
  */
 final class EventSplitter {
 
-  private static final int MAX_EVENT_BYTES = 1024 * 1024;
+  static final int MAX_EVENT_BYTES = 1024 * 1024;
   private static final byte CARRIAGE_RETURN = '\r';
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
   private static final int MAX_ID_DIGITS = 18;
@@ -22,14 +22,15 @@
   /**
    * Appends received bytes; does not release the buffer.
    *
-   * @throws IllegalStateException if the buffered bytes exceed the limit of one event
+   * @return false if the buffered bytes would exceed the limit of one event; nothing is appended
    */
-  void add(ByteBuf bytes) {
+  boolean add(ByteBuf bytes) {
     if (pending.readableBytes() + bytes.readableBytes() > MAX_EVENT_BYTES) {
-      throw new IllegalStateException("event exceeds " + MAX_EVENT_BYTES + " bytes");
+      return false;
     }
     pending.discardSomeReadBytes();
     pending.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
+    return true;
   }
 
   /** Returns the next complete event with its closing blank line, or null if there is none. */
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/SilenceDetector.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/SilenceDetector.java
@@ -8,14 +8,14 @@
 import org.galenapost.core.loss.LossSettings;
 import org.galenapost.core.time.Scheduler;
 
-/** Detects that the server of one send has fallen silent. Used on one event loop. */
+/** Detects that the response to one send makes no progress. Used on one event loop. */
 final class SilenceDetector {
 
   /**
    * Callers tolerate pauses of 700 ms between events. Half of that is the budget for detecting an
    * unreachable server; the rest is left for resuming the stream on another one. A server whose
-   * host still accepts connections is lost after 4 s of silence, or after 20 s before its first
-   * bytes, since an engine may queue a request.
+   * host still accepts connections is lost after 4 s without progress, or after 20 s before its
+   * first event, since an engine may queue a request.
    */
   private static final LossSettings SETTINGS =
       new LossSettings(
@@ -55,8 +55,8 @@
     check();
   }
 
-  /** Records that bytes arrived from the server. */
-  void onBytes() {
+  /** Records that the response made progress: a complete event, or a part of a whole answer. */
+  void onProgress() {
     detector.onToken(context.clock().nanos());
   }
 
--- a/daemon/src/main/java/org/galenapost/daemon/http/HttpListener.java
+++ b/daemon/src/main/java/org/galenapost/daemon/http/HttpListener.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.group.ChannelGroup;
@@ -15,7 +16,10 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.galenapost.daemon.service.Service;
 import org.galenapost.daemon.service.ServiceStartException;
 
@@ -24,11 +28,20 @@
 
   private static final int ACCEPT_BACKLOG = 1_024;
 
+  /** Gives the event loop the time for one select call. */
+  private static final Duration ACCEPT_PASS = Duration.ofMillis(10);
+
+  private static final int IDLE_ACCEPT_PASSES = 2;
+
+  /** Bounds the wait to half a second if connections keep arriving. */
+  private static final int MAX_ACCEPT_PASSES = 50;
+
   private final String role;
   private final InetSocketAddress address;
   private final ServerBootstrap bootstrap;
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final Optional<ServerSocketChannel> socket;
+  private final AtomicLong acceptedCount = new AtomicLong();
   private volatile Channel server;
 
   /**
@@ -86,6 +99,7 @@
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(Channel channel) {
+        acceptedCount.incrementAndGet();
         connections.add(channel);
         pipeline.setUp(channel.pipeline());
       }
@@ -139,16 +153,34 @@
     return connections.size();
   }
 
-  /** Stops accepting connections. Open connections stay open. */
+  /**
+   * Stops accepting connections. Open connections stay open. Connections that already wait to be
+   * accepted are accepted first, since closing the socket would reset them.
+   */
   public void stopAccepting() {
     Channel bound = server;
     if (bound != null) {
+      if (bound.isActive()) {
+        acceptWaitingConnections(bound.eventLoop());
+      }
       bound.close().awaitUninterruptibly();
     } else {
       socket.ifPresent(HttpListener::close);
     }
   }
 
+  /** Waits until the event loop has accepted no connection in several passes. */
+  private void acceptWaitingConnections(EventLoop eventLoop) {
+    int idlePasses = 0;
+    for (int pass = 0; pass < MAX_ACCEPT_PASSES && idlePasses < IDLE_ACCEPT_PASSES; pass++) {
+      long acceptedBefore = acceptedCount.get();
+      eventLoop
+          .schedule(() -> {}, ACCEPT_PASS.toMillis(), TimeUnit.MILLISECONDS)
+          .awaitUninterruptibly();
+      idlePasses = acceptedCount.get() == acceptedBefore ? idlePasses + 1 : 0;
+    }
+  }
+
   private static void close(ServerSocketChannel socket) {
     try {
       socket.close();
--- a/daemon/src/main/java/org/galenapost/daemon/net/HttpClients.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/HttpClients.java
@@ -53,7 +53,10 @@
             .build());
   }
 
-  /** Returns the client that reuses connections, for requests that are safe to retry. */
+  /**
+   * Returns the client that reuses connections, for requests that are safe to retry and whose
+   * responses may be mistaken for each other, such as polls of an engine's state.
+   */
   public AsyncHttpClient pooled() {
     return pooled;
   }
--- a/daemon/src/main/java/org/galenapost/daemon/relay/ServiceClient.java
+++ b/daemon/src/main/java/org/galenapost/daemon/relay/ServiceClient.java
@@ -15,7 +15,11 @@
 import org.galenapost.daemon.net.IpAddresses;
 import org.galenapost.daemon.settings.SocketAddressSetting;
 
-/** Sends attempts to plain services and reports the outcome of each. */
+/**
+ * Sends attempts to plain services and reports the outcome of each. Each attempt has a connection
+ * of its own: responses of plain services name no request, so a second copy of a response that
+ * arrives late on a reused connection would be taken for the response to the next call.
+ */
 final class ServiceClient {
 
   private static final String ATTEMPT_HEADER = "Galenapost-Attempt";
@@ -45,10 +49,8 @@
    */
   Runnable send(
       ServiceRequest request, BooleanSupplier trySend, Consumer<ServiceOutcome> listener) {
-    boolean isAction = request.attemptId().isPresent();
-    AsyncHttpClient client = isAction ? clients.unpooled() : clients.pooled();
     ListenableFuture<ServiceAnswer> future =
-        builder(client, request)
+        builder(clients.unpooled(), request)
             .execute(new ServiceAnswerHandler(maxAnswerBytes, trySend, listener));
     return () -> future.cancel(true);
   }
--- /dev/null
+++ b/daemon/src/test/java/org/galenapost/daemon/relay/ServiceClientTest.java
@@ -0,0 +1,134 @@
+package org.galenapost.daemon.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.galenapost.core.fleet.BackendServer;
+import org.galenapost.core.fleet.ServerKind;
+import org.galenapost.core.fleet.ServerState;
+import org.galenapost.daemon.net.EventLoops;
+import org.galenapost.daemon.net.HttpClients;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class ServiceClientTest {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+  private static final int MAX_ANSWER_BYTES = 1_024;
+
+  private final EventLoops eventLoops = new EventLoops(1);
+  private final HttpClients clients = new HttpClients(eventLoops.group(), TIMEOUT);
+  private final ServiceClient client = new ServiceClient(clients, MAX_ANSWER_BYTES);
+
+  @AfterEach
+  void stop() {
+    clients.stop();
+    eventLoops.stop();
+  }
+
+  @Test
+  void givesNoCallTheLateSecondAnswerOfAnEarlierOne() throws Exception {
+    try (ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      serveWithLateSecondAnswers(socket);
+
+      assertThat(answerOf(socket.getLocalPort(), "/1")).isEqualTo("answer to /1");
+      assertThat(answerOf(socket.getLocalPort(), "/2")).isEqualTo("answer to /2");
+      assertThat(answerOf(socket.getLocalPort(), "/3")).isEqualTo("answer to /3");
+    }
+  }
+
+  private String answerOf(int port, String uri) throws Exception {
+    CompletableFuture<ServiceOutcome> outcome = new CompletableFuture<>();
+    ServiceRequest request =
+        new ServiceRequest(
+            service(port),
+            "GET",
+            uri,
+            EmptyHttpHeaders.INSTANCE,
+            new byte[0],
+            "r1",
+            Optional.empty(),
+            TIMEOUT);
+    client.send(request, () -> true, outcome::complete);
+    ServiceOutcome received = outcome.get(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    return received instanceof ServiceOutcome.Answered answered
+        ? new String(answered.answer().body(), StandardCharsets.UTF_8)
+        : received.toString();
+  }
+
+  private static BackendServer service(int port) {
+    return new BackendServer(
+        "s1",
+        "127.0.0.1",
+        port,
+        ServerKind.SERVICE,
+        "dc1",
+        Set.of(),
+        Optional.of("s"),
+        ServerState.LIVE,
+        false);
+  }
+
+  /** Repeats the answer to the previous request before each answer on a connection in use. */
+  private static void serveWithLateSecondAnswers(ServerSocket socket) {
+    startThread(
+        () -> {
+          while (true) {
+            Socket connection = socket.accept();
+            startThread(() -> serve(connection));
+          }
+        });
+  }
+
+  private static void serve(Socket connection) throws IOException {
+    BufferedReader requests =
+        new BufferedReader(
+            new InputStreamReader(connection.getInputStream(), StandardCharsets.US_ASCII));
+    String previousAnswer = "";
+    for (String line = requests.readLine(); line != null; line = requests.readLine()) {
+      if (line.startsWith("GET ")) {
+        String body = "answer to " + line.split(" ")[1];
+        String answer = "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+        connection
+            .getOutputStream()
+            .write((previousAnswer + answer).getBytes(StandardCharsets.US_ASCII));
+        previousAnswer = answer;
+      }
+    }
+  }
+
+  /** A task of the server that ends when its socket closes. */
+  private interface SocketTask {
+    void run() throws IOException;
+  }
+
+  private static void startThread(SocketTask task) {
+    Thread thread =
+        new Thread(
+            () -> {
+              try {
+                task.run();
+              } catch (SocketException e) {
+                // The test is over.
+              } catch (IOException e) {
+                throw new UncheckedIOException(e);
+              }
+            });
+    thread.setDaemon(true);
+    thread.start();
+  }
+}
--- a/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
@@ -25,6 +25,7 @@
   /** The number of events in each stream. */
   public static final int EVENTS_PER_STREAM = 20;
 
+  private static final Duration COMMENT_INTERVAL = Duration.ofMillis(200);
   private static final int OK = 200;
   private static final int INTERNAL_SERVER_ERROR = 500;
   private static final int MISDIRECTED_REQUEST = 421;
@@ -65,7 +66,9 @@
     /** It sends a complete response followed by further bytes. */
     TALKATIVE,
     /** It streams half of the events and resets the connection in the middle of the next one. */
-    DYING_IN_STREAM
+    DYING_IN_STREAM,
+    /** It streams half of the events, and then only a comment now and then. */
+    TRICKLING
   }
 
   /**
@@ -321,6 +324,16 @@
     if (behaviour == Behaviour.SILENT) {
       return;
     }
+    if (behaviour == Behaviour.TRICKLING && event > EVENTS_PER_STREAM / 2) {
+      stream.writeRaw(": still here\n".getBytes(StandardCharsets.UTF_8));
+      server
+          .eventLoop()
+          .schedule(
+              () -> streamFrom(stream, callId, event),
+              COMMENT_INTERVAL.toMillis(),
+              TimeUnit.MILLISECONDS);
+      return;
+    }
     if (event > EVENTS_PER_STREAM) {
       stream.end();
       return;
--- a/standins/src/main/java/org/galenapost/standins/gateway/StoreContentWriter.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/StoreContentWriter.java
@@ -32,7 +32,7 @@
   public static final List<String> FORGED_HEADERS =
       List.of("X-Hold: forged", "X-Pin-Ms: forged", "Kv-From: forged", "X-Tenant: forged");
 
-  /** The timeout of every route. */
+  /** The timeout of every route, unless another one is set. */
   public static final int ROUTE_TIMEOUT_MS = 3_000;
 
   private static final int SLOTS = 6;
@@ -46,6 +46,7 @@
               "max_body_bytes", 100_000L,
               "header_timeout_ms", 500L,
               "idle_timeout_ms", 1_500L));
+  private long routeTimeoutMs = ROUTE_TIMEOUT_MS;
   private long configVersion;
   private long writeCount;
 
@@ -59,6 +60,11 @@
     limits.put("max_body_bytes", bytes);
   }
 
+  /** Sets the timeout of all routes, starting with the next configuration written. */
+  public void setRouteTimeoutMs(long timeoutMs) {
+    routeTimeoutMs = timeoutMs;
+  }
+
   /**
    * Writes the entry of a backend server.
    *
@@ -116,14 +122,14 @@
                 List.of(Map.of("name", WORKSPACE, "api_keys", List.of(keys), "priority", 1))));
   }
 
-  private static Map<String, Object> route(
+  private Map<String, Object> route(
       String name, String prefix, String kind, String service, int attempts, boolean canResume) {
     return Map.of(
         "name", name,
         "host", HOST,
         "path_prefix", prefix,
         "kind", kind,
-        "timeout_ms", ROUTE_TIMEOUT_MS,
+        "timeout_ms", routeTimeoutMs,
         "latency_target_ms", 800,
         "service", service,
         "max_attempts", attempts,
