Spread the return of callers whose servers all asked for a pause

Cause: all callers refused during a pause were told the same end and would have returned together. Change: up to 300 ms are added at random. Ruled out: a constant addition, which keeps them together. Also words two comments and an error message. Measured: chooser and gateway tests pass.

--- a/core/src/main/java/org/galenapost/core/dispatch/InstanceChooser.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/InstanceChooser.java
@@ -52,6 +52,9 @@
   private static final double AVOIDED_SERVER_PENALTY_MS = 100_000;
   private static final double TIE_BREAK_JITTER_MS = 2;
 
+  /** The time over which callers return after a pause; a few calls of a plain service. */
+  private static final double RETURN_SPREAD_MS = 300;
+
   /**
    * The wait in the local cell above which servers of other cells are considered: the processing
    * time of two prompts of the engine data sheet.
@@ -113,11 +116,13 @@
   }
 
   /**
-   * Returns the time until a server of the service can receive calls again, if all of them asked
-   * for a pause.
+   * Returns when to come back to a service whose servers all asked for a pause: after the first
+   * pause, spread so that the callers do not return together. Empty if a server is in no pause.
    */
   public Optional<Duration> untilPauseEnds(TargetService service) {
-    return pauses.untilFirstEnds(directory.ready(service.name()));
+    return pauses
+        .untilFirstEnds(directory.ready(service.name()))
+        .map(pause -> pause.plusMillis(Math.round(RETURN_SPREAD_MS * random.nextDouble())));
   }
 
   /**
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayProgram.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayProgram.java
@@ -49,7 +49,7 @@
 
   /**
    * Starts a gateway like {@link #run(GatewayAdapter, String...)}, but without a command line,
-   * whose parser would take a fifth of the processor time of the start.
+   * whose parser takes a large part of the time to start.
    *
    * @param adapter connects the gateway to its platform
    * @param settings the settings file
--- a/daemon/src/main/java/org/galenapost/daemon/platform/PlatformHttpClient.java
+++ b/daemon/src/main/java/org/galenapost/daemon/platform/PlatformHttpClient.java
@@ -64,7 +64,8 @@
 
   /** Replaces the default factory, which loads all trusted certificates when the client starts. */
   private static SSLEngine rejectTls(AsyncHttpClientConfig config, String host, int port) {
-    throw new UnsupportedOperationException("the platform is called without TLS");
+    throw new IllegalStateException(
+        "the platform is called without TLS, but TLS was requested for " + host + ":" + port);
   }
 
   @Override
