Take fractional times, and watch briefly in a gateway without settings

The template now renders config_ms as the time of a watch; a fraction of a millisecond, or a value outside 100 ms to 5 min, would have ended every daemon at its start, as the fractional retry limit did. Ruled out: a fixed time in the template, which costs store calls on large sites.

--- a/daemon/src/main/java/org/galenapost/daemon/settings/GatewaySettings.java
+++ b/daemon/src/main/java/org/galenapost/daemon/settings/GatewaySettings.java
@@ -51,7 +51,7 @@
             root.section("readiness", ReadinessSettings::bind),
             root.section("operator", OperatorSettings::bind),
             root.section("peer", PeerSettings::bind),
-            root.section("platform", PlatformSettings::bind),
+            root.section("platform", PlatformSettings::bindForGateway),
             root.section("repeats", RepeatSettings::bind),
             root.section("timings", GatewayTimings::bind));
     root.rejectUnknownKeys();
--- a/daemon/src/main/java/org/galenapost/daemon/settings/PlatformSettings.java
+++ b/daemon/src/main/java/org/galenapost/daemon/settings/PlatformSettings.java
@@ -16,10 +16,20 @@
   private static final Duration MIN_REQUEST_TIMEOUT = Duration.ofMillis(10);
   private static final Duration MAX_REQUEST_TIMEOUT = Duration.ofMinutes(1);
   private static final Duration DEFAULT_WATCH_WAIT = Duration.ofSeconds(20);
-  private static final Duration MIN_WATCH_WAIT = Duration.ofMillis(100);
-  private static final Duration MAX_WATCH_WAIT = Duration.ofMinutes(5);
+  private static final Duration DEFAULT_GATEWAY_WATCH_WAIT = Duration.ofSeconds(2);
+  private static final Duration MIN_WATCH_WAIT = Duration.ofMillis(10);
+  private static final Duration MAX_WATCH_WAIT = Duration.ofHours(24);
 
   static PlatformSettings bind(SectionReader section) {
+    return bind(section, DEFAULT_WATCH_WAIT);
+  }
+
+  /** Binds the settings of a gateway, which has to notice soon that a watch hangs. */
+  static PlatformSettings bindForGateway(SectionReader section) {
+    return bind(section, DEFAULT_GATEWAY_WATCH_WAIT);
+  }
+
+  private static PlatformSettings bind(SectionReader section, Duration defaultWatchWait) {
     return new PlatformSettings(
         section.address("address"),
         section.durationMs(
@@ -27,6 +37,6 @@
             DEFAULT_REQUEST_TIMEOUT,
             MIN_REQUEST_TIMEOUT,
             MAX_REQUEST_TIMEOUT),
-        section.durationMs("watch_wait_ms", DEFAULT_WATCH_WAIT, MIN_WATCH_WAIT, MAX_WATCH_WAIT));
+        section.durationMs("watch_wait_ms", defaultWatchWait, MIN_WATCH_WAIT, MAX_WATCH_WAIT));
   }
 }
--- a/daemon/src/main/java/org/galenapost/daemon/settings/SectionReader.java
+++ b/daemon/src/main/java/org/galenapost/daemon/settings/SectionReader.java
@@ -116,10 +116,22 @@
     return defaultValue;
   }
 
+  /** Reads a time in milliseconds; a fraction is rounded. */
   Duration durationMs(String key, Duration defaultValue, Duration min, Duration max) {
-    Optional<Long> defaultMs = Optional.of(defaultValue.toMillis());
-    return Duration.ofMillis(
-        number(key, defaultMs, min.toMillis(), max.toMillis(), "a time in milliseconds"));
+    JsonNode child = child(key);
+    if (child.isMissingNode()) {
+      return defaultValue;
+    }
+    boolean isValid =
+        child.isNumber()
+            && child.doubleValue() >= min.toMillis()
+            && child.doubleValue() <= max.toMillis();
+    if (isValid) {
+      return Duration.ofMillis(Math.round(child.doubleValue()));
+    }
+    String expected = "a time in milliseconds from " + min.toMillis() + " to " + max.toMillis();
+    addFault(key, expected, describe(child));
+    return defaultValue;
   }
 
   /** Reads a time in seconds, which may have a fraction. */
