Leave losses that a part of a prompt explains out of the suspicion of requests

Each deadly request is new, so the sound one was the only suspect there and its second loss decisive.

The quarantine of requests now leaves out the loss of a server that a part of a prompt has caused, from the moment at which that part is known. The test failed before: the sound request stayed refused.

--- a/core/src/main/java/org/galenapost/core/quarantine/PartLosses.java
+++ b/core/src/main/java/org/galenapost/core/quarantine/PartLosses.java
@@ -164,6 +164,12 @@
     return events;
   }
 
+  /** Returns whether a suspect part of a lost server is the cause of its loss. */
+  boolean isExplained(String serverId) {
+    Loss loss = losses.get(serverId);
+    return loss != null && causeAmong(loss.suspectPartIds).isPresent();
+  }
+
   /** Returns the number of servers that count against a part. */
   int countedServers(String partId) {
     return countedLosses(partId).size();
--- a/core/src/main/java/org/galenapost/core/quarantine/PromptPartQuarantine.java
+++ b/core/src/main/java/org/galenapost/core/quarantine/PromptPartQuarantine.java
@@ -188,6 +188,11 @@
     }
   }
 
+  /** Returns whether a part of a prompt caused the loss of a server, whatever else ran there. */
+  public boolean isCauseOfLoss(String serverId) {
+    return losses.isExplained(serverId);
+  }
+
   /** Clears the parts of a request that a server answers. */
   public void onAnswered(Collection<String> partIds) {
     Set<String> cleared = clear(partIds);
--- a/core/src/main/java/org/galenapost/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/galenapost/core/quarantine/Quarantine.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.Predicate;
 import org.galenapost.core.generation.RequestDigest;
 import org.galenapost.core.peer.PeerBus;
 import org.galenapost.core.time.MonotonicClock;
@@ -38,6 +39,7 @@
   private final PeerBus peers;
   private final InstantSource clock;
   private final Cache<RequestDigest, SuspicionUpdate> suspicions;
+  private final Predicate<String> isExplainedLoss;
   private final IsolationClaims claims;
   private final MassLossWindow recentLosses;
 
@@ -49,6 +51,24 @@
    * @param monotonicClock elapsed time
    */
   public Quarantine(PeerBus peers, InstantSource clock, MonotonicClock monotonicClock) {
+    this(peers, clock, monotonicClock, serverId -> false);
+  }
+
+  /**
+   * Creates an empty quarantine that leaves out losses with a known cause.
+   *
+   * @param peers the other daemons
+   * @param clock the time of day
+   * @param monotonicClock elapsed time
+   * @param isExplainedLoss returns whether the loss of a server has a cause other than the requests
+   *     that ran there
+   */
+  public Quarantine(
+      PeerBus peers,
+      InstantSource clock,
+      MonotonicClock monotonicClock,
+      Predicate<String> isExplainedLoss) {
+    this.isExplainedLoss = Objects.requireNonNull(isExplainedLoss, "isExplainedLoss");
     this.peers = Objects.requireNonNull(peers, "peers");
     this.clock = Objects.requireNonNull(clock, "clock");
     this.claims = new IsolationClaims(monotonicClock);
@@ -77,8 +97,8 @@
 
   @Override
   public synchronized Placement place(RequestDigest digest) {
-    SuspicionUpdate suspicion = suspicions.getIfPresent(digest);
-    if (suspicion == null || !suspicion.needsIsolation()) {
+    SuspicionUpdate suspicion = current(digest).withoutServers(isExplainedLoss);
+    if (!suspicion.needsIsolation()) {
       return new Placement.Anywhere();
     }
     if (suspicion.isRefused()) {
--- a/core/src/main/java/org/galenapost/core/quarantine/SuspicionUpdate.java
+++ b/core/src/main/java/org/galenapost/core/quarantine/SuspicionUpdate.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.function.Predicate;
 import org.galenapost.core.generation.RequestDigest;
 import org.galenapost.core.peer.PeerMessage;
 
@@ -44,6 +45,12 @@
     return new SuspicionUpdate(digest, epoch + 1, kept);
   }
 
+  /** Returns this suspicion without the losses of some servers. */
+  SuspicionUpdate withoutServers(Predicate<String> isLeftOut) {
+    return new SuspicionUpdate(
+        digest, epoch, deaths.stream().filter(loss -> !isLeftOut.test(loss.serverId())).toList());
+  }
+
   SuspicionUpdate merge(SuspicionUpdate other) {
     if (other.epoch != epoch) {
       return other.epoch > epoch ? other : this;
--- a/core/src/test/java/org/galenapost/core/quarantine/PromptPartQuarantineTest.java
+++ b/core/src/test/java/org/galenapost/core/quarantine/PromptPartQuarantineTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.galenapost.core.generation.RequestDigest;
 import org.galenapost.core.testing.FakePeers;
 import org.galenapost.core.testing.VirtualTime;
 import org.galenapost.core.verdict.RefusalReason;
@@ -127,6 +128,27 @@
     assertThat(restarted.check(DEADLY_REQUEST)).isPresent();
   }
 
+  /** The crashing requests are all new, so the sound one is the only suspect on its servers. */
+  @Test
+  void soundRequestIsNotRefusedForServersThatItSharedWithCrashingOnes() {
+    // GIVEN
+    RequestDigest sound = new RequestDigest("0123456789abcdef".repeat(2));
+    Quarantine requests = new Quarantine(peers.bus("d4"), time, time, first::isCauseOfLoss);
+    for (String serverId : List.of("s1", "s2")) {
+      requests.claim(serverId, sound);
+      requests.onServerLost(serverId, sound, 0, true);
+      first.onServerLost(serverId, List.of("91bd"));
+      lose(first, serverId, List.of("1" + serverId, DEADLY));
+    }
+    assertThat(requests.place(sound)).isInstanceOf(Placement.Refused.class);
+
+    // WHEN
+    lose(first, "s3", List.of("33cc", DEADLY));
+
+    // THEN
+    assertThat(requests.place(sound)).isEqualTo(new Placement.Anywhere());
+  }
+
   @Test
   void stopsRequestsInProgressBeforeTheyCrashAnotherServer() {
     // GIVEN
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -249,9 +249,10 @@
     InstanceHealth health = new InstanceHealth(clock);
     ServerConnectionPool pool =
         new ServerConnectionPool(loop, format, clock, settings.timings().connectTimeout());
-    Quarantine quarantine = new Quarantine(bus, InstantSource.system(), clock);
     PromptPartQuarantine partQuarantine =
         new PromptPartQuarantine(bus, clock, scheduler, GatewayLog.promptParts());
+    Quarantine quarantine =
+        new Quarantine(bus, InstantSource.system(), clock, partQuarantine::isCauseOfLoss);
     SendBudget budget = sendBudget();
     IntSupplier liveDaemonCount = () -> bus.livePeerIds().size() + 1;
     CellBus cellBus = new CellBus(bus, cells);
