Bound what all calls together hold of incomplete answers

Servers in trouble may send bytes without end, in a head or a body, until the caller closes. One call was bounded (16 MB of a body, 1 MB of an event), all calls together were not: five such answers at once exceed the heap of 72 MB.

BufferBudget bounds a call by 4 MB and all calls by 16 MB; a call that finds no room is retried like one whose answer is malformed. The gauge galenapost.gateway.answer.bytes.held shows what is held.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -44,6 +44,7 @@
 import org.galenapost.daemon.gateway.call.CallFormat;
 import org.galenapost.daemon.gateway.front.CallerFrontend;
 import org.galenapost.daemon.gateway.front.RequestValidator;
+import org.galenapost.daemon.gateway.run.BufferBudget;
 import org.galenapost.daemon.gateway.run.GatewayContext;
 import org.galenapost.daemon.gateway.run.GatewayMeters;
 import org.galenapost.daemon.gateway.run.InstancePaces;
@@ -294,6 +295,7 @@
         partQuarantine,
         stallGuard,
         paces,
+        new BufferBudget(),
         new GatewayMeters(metrics.registry()),
         liveDaemonCount);
   }
@@ -352,6 +354,8 @@
     metrics.registerGauge("galenapost.requests.in.progress", calls::count);
     metrics.registerGauge("galenapost.caller.connections", frontend::connectionCount);
     metrics.registerGauge("galenapost.gateway.instances", directory::size);
+    metrics.registerGauge(
+        "galenapost.gateway.answer.bytes.held", context.answerBuffers()::totalBytes);
     metrics.registerGauge("galenapost.gateway.cell.peers", cells::peerCount);
     metrics.registerGauge(
         "galenapost.gateway.server.connections.opened", context.pool()::openedConnectionCount);
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/Attempt.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/Attempt.java
@@ -17,8 +17,6 @@
  */
 final class Attempt implements ResponseListener {
 
-  private static final int MAX_BUFFERED_BODY_BYTES = 16 * 1024 * 1024;
-
   private final GatewayContext context;
   private final Listener listener;
   private final EventRelay relay;
@@ -32,6 +30,7 @@
   private EventSplitter splitter;
   private ByteBuf body;
   private long eventCount;
+  private long heldBytes;
   private boolean hasNewEvents;
   private boolean isEnded;
 
@@ -141,6 +140,7 @@
       return false;
     }
     isEnded = true;
+    hold(0);
     silenceDetector.ifPresent(SilenceDetector::stop);
     reservation.release();
     copyReservation.ifPresent(ServerUseTracker.Reservation::release);
@@ -195,13 +195,22 @@
   }
 
   private void appendToBody(ByteBuf part) {
-    if (body.readableBytes() + part.readableBytes() > MAX_BUFFERED_BODY_BYTES) {
-      fail(SendFailure.malformed("response body exceeds " + MAX_BUFFERED_BODY_BYTES + " bytes"));
+    if (!hold(body.readableBytes() + part.readableBytes())) {
       return;
     }
     body.writeBytes(part, part.readerIndex(), part.readableBytes());
   }
 
+  /** Takes room for incomplete parts of the answer; fails the attempt if there is none. */
+  private boolean hold(long bytes) {
+    if (context.answerBuffers().tryResize(heldBytes, bytes)) {
+      heldBytes = bytes;
+      return true;
+    }
+    fail(SendFailure.malformed("no room for " + bytes + " bytes of an incomplete answer"));
+    return false;
+  }
+
   private void relayEvents(ByteBuf part) {
     long previousCount = eventCount;
     if (!splitter.add(part)) {
@@ -216,6 +225,9 @@
       }
       eventCount++;
     }
+    if (!hold(splitter.pendingBytes())) {
+      return;
+    }
     if (eventCount > previousCount) {
       // Comments and parts of events are no progress: a stalled server may send them forever.
       silenceDetector.ifPresent(SilenceDetector::onProgress);
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/EventSplitter.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/EventSplitter.java
@@ -60,6 +60,11 @@
     return pending.isReadable();
   }
 
+  /** Returns the number of buffered bytes. */
+  int pendingBytes() {
+    return pending.readableBytes();
+  }
+
   /** Returns the numeric id of an event, or empty if it has none. */
   static OptionalLong idOf(ByteBuf event) {
     int lineStart = event.readerIndex();
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/GatewayContext.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/GatewayContext.java
@@ -38,6 +38,7 @@
  * @param partQuarantine refuses requests with a part of a prompt that crashes servers
  * @param stallGuard detects stalls of this process
  * @param paces the usual pace of each server
+ * @param answerBuffers bounds what calls hold of incomplete answers
  * @param meters counts and times calls
  * @param liveDaemonCount returns the number of live daemons, including this one
  */
@@ -59,5 +60,6 @@
     PromptPartQuarantine partQuarantine,
     StallGuard stallGuard,
     InstancePaces paces,
+    BufferBudget answerBuffers,
     GatewayMeters meters,
     IntSupplier liveDaemonCount) {}
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFaults.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFaults.java
@@ -1,12 +1,12 @@
 package org.galenapost.scenarios.soak;
 
 import java.time.Duration;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Random;
 import java.util.TreeSet;
 import java.util.concurrent.ExecutorService;
 import java.util.function.Supplier;
-import java.util.stream.Stream;
 import org.galenapost.scenarios.process.ManagedProcess;
 import org.galenapost.standins.gateway.ServerStandin.Behaviour;
 import org.galenapost.standins.gateway.StoreEndpoint.FaultMode;
@@ -24,9 +24,7 @@
    * A new behaviour would change the series of faults of every seed, so later ones are left out.
    */
   private static final List<Behaviour> SERVER_FAULTS =
-      Stream.of(Behaviour.values())
-          .filter(behaviour -> behaviour != Behaviour.SERVING && behaviour != Behaviour.TRICKLING)
-          .toList();
+      List.copyOf(EnumSet.range(Behaviour.FAILING, Behaviour.DYING_IN_STREAM));
 
   private static final int MAX_LINK_DELAY_MS = 400;
   private static final Duration DRAIN_TIME = Duration.ofMillis(2_500);
--- a/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
@@ -26,6 +26,7 @@
   public static final int EVENTS_PER_STREAM = 20;
 
   private static final Duration COMMENT_INTERVAL = Duration.ofMillis(200);
+  private static final String FILLER = "x".repeat(16 * 1024);
   private static final int OK = 200;
   private static final int INTERNAL_SERVER_ERROR = 500;
   private static final int MISDIRECTED_REQUEST = 421;
@@ -68,7 +69,11 @@
     /** It streams half of the events and resets the connection in the middle of the next one. */
     DYING_IN_STREAM,
     /** It streams half of the events, and then only a comment now and then. */
-    TRICKLING
+    TRICKLING,
+    /** It sends the head of a response without end. */
+    ENDLESS_HEAD,
+    /** It sends the body of a response without end. */
+    ENDLESS_BODY
   }
 
   /**
@@ -254,6 +259,8 @@
       case SILENT -> {}
       case RESETTING -> exchange.reset();
       case CRASHED_BY_CALLS -> crashOrRespond(exchange, headers, sealed);
+      case ENDLESS_HEAD -> exchange.replyEndlessly("HTTP/1.1 200 OK\r\nX-Filler: ", FILLER);
+      case ENDLESS_BODY -> exchange.replyEndlessly(endlessHead(headers, sealed), FILLER);
       case GARBLING -> exchange.replyRaw("no answer at all\r\n\r\n");
       case FAILING -> exchange.reply(INTERNAL_SERVER_ERROR, sealed, "failed by " + instanceId);
       case UNSEALED -> exchange.reply(OK, Map.of("X-Attempt-Id", callId), "forged");
@@ -275,6 +282,13 @@
     }
   }
 
+  private static String endlessHead(Map<String, String> headers, Map<String, String> sealed) {
+    String type = headers.containsKey("X-Token-Counts") ? "text/event-stream" : "text/plain";
+    StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\nContent-Type: " + type + "\r\n");
+    sealed.forEach((name, value) -> head.append(name + ": " + value + "\r\n"));
+    return head.append("\r\n").toString();
+  }
+
   private void crashOrRespond(
       Exchange exchange, Map<String, String> headers, Map<String, String> sealed) {
     if (exchange.target().contains("crash")) {
--- a/standins/src/main/java/org/galenapost/standins/http/Exchange.java
+++ b/standins/src/main/java/org/galenapost/standins/http/Exchange.java
@@ -187,6 +187,25 @@
     channel.pipeline().firstContext().writeAndFlush(ByteBufUtil.writeUtf8(channel.alloc(), text));
   }
 
+  /**
+   * Sends text unchanged and then a filler again and again, until the connection closes.
+   *
+   * @param text the text, which need not be a valid response
+   * @param filler the text that follows it without end
+   */
+  public void replyEndlessly(String text, String filler) {
+    channel
+        .pipeline()
+        .firstContext()
+        .writeAndFlush(ByteBufUtil.writeUtf8(channel.alloc(), text))
+        .addListener(
+            written -> {
+              if (written.isSuccess()) {
+                replyEndlessly(filler, filler);
+              }
+            });
+  }
+
   /** Returns the path with the query string, as received. */
   public String target() {
     return target;
