List every kind as soon as the store answers for one

An answer for one kind ends the backoff of the others. The test failed before: the daemon was not ready when the first kind was listed.

--- a/core/src/main/java/org/galenapost/core/configuration/ConfigurationFollower.java
+++ b/core/src/main/java/org/galenapost/core/configuration/ConfigurationFollower.java
@@ -139,6 +139,7 @@
   }
 
   private void markListed(ConfigurationKind kind) {
+    watches.stream().filter(watch -> watch.kind() != kind).forEach(KindWatch::retryNow);
     synchronized (listedKinds) {
       listedKinds.add(kind);
       if (listedKinds.size() < followedKinds.size()) {
--- a/core/src/main/java/org/galenapost/core/configuration/KindWatch.java
+++ b/core/src/main/java/org/galenapost/core/configuration/KindWatch.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.galenapost.core.platform.Changes;
 import org.galenapost.core.platform.Listing;
 import org.galenapost.core.platform.PlatformError;
@@ -35,6 +36,7 @@
   private volatile boolean isRunning;
   private volatile boolean isUpToDate;
   private Scheduler.Cancellable assignmentCheck = () -> {};
+  private final AtomicBoolean isBackingOff = new AtomicBoolean();
   private boolean isPaused;
   private boolean isPollRequested;
   private boolean mustList = true;
@@ -87,6 +89,13 @@
     }
   }
 
+  /** Ends a backoff, if there is one: its time is over, or the platform answered another call. */
+  void retryNow() {
+    if (isBackingOff.compareAndSet(true, false)) {
+      listOrWatch();
+    }
+  }
+
   private void listOrWatch() {
     if (!isRunning) {
       return;
@@ -160,9 +169,10 @@
 
   private void retryLater() {
     Duration doubled = MIN_BACKOFF.multipliedBy(1L << Math.min(failures, MAX_BACKOFF_DOUBLINGS));
-    Duration backoff = doubled.compareTo(maxBackoff) > 0 ? maxBackoff : doubled;
+    Duration delay = doubled.compareTo(maxBackoff) > 0 ? maxBackoff : doubled;
     failures++;
     isUpToDate = false;
-    scheduler.schedule(random.jitter(backoff), this::listOrWatch);
+    isBackingOff.set(true);
+    scheduler.schedule(random.jitter(delay), this::retryNow);
   }
 }
--- a/core/src/test/java/org/galenapost/core/configuration/ConfigurationFollowerTest.java
+++ b/core/src/test/java/org/galenapost/core/configuration/ConfigurationFollowerTest.java
@@ -62,6 +62,24 @@
     assertThat(starting.follower.isReady()).isTrue();
   }
 
+  @Test
+  void listsEveryKindAsSoonAsThePlatformAnswersForOne() {
+    // GIVEN a daemon that started during an outage, each kind in a backoff of its own
+    Daemon starting = new Daemon("d1");
+    starting.client.setDown(true);
+    starting.start();
+    time.advance(Duration.ofMinutes(1));
+
+    // WHEN the platform recovers and answers for the first kind
+    starting.client.setDown(false);
+    while (starting.state.kinds().stream().allMatch(starting::lacks)) {
+      time.advance(Duration.ofMillis(1));
+    }
+
+    // THEN no other kind waits for the rest of its backoff
+    assertThat(starting.follower.isReady()).isTrue();
+  }
+
   @Test
   void pullsChangeFromPeerWhenPlatformIsUnreachable() {
     // GIVEN two daemons, one of which cannot reach the platform, and no broadcasts
@@ -127,5 +145,9 @@
     void start() {
       follower.start();
     }
+
+    boolean lacks(ConfigurationKind kind) {
+      return state.completeRevision(kind) == KindState.NOTHING_SEEN;
+    }
   }
 }
