--- a/core/src/main/java/org/galenapost/core/quarantine/PartLosses.java
+++ b/core/src/main/java/org/galenapost/core/quarantine/PartLosses.java
@@ -42,6 +42,9 @@
   private static final Duration MAX_AGE = Duration.ofMinutes(10);
   private static final int MAX_LOSSES = 1_000;
 
+  /** Bounds the memory that long lists of parts take, about 2 MB. */
+  private static final int MAX_SUSPECT_PARTS = 20_000;
+
   private final MonotonicClock clock;
   private final Map<String, Loss> losses = new LinkedHashMap<>();
 
@@ -78,11 +81,15 @@
 
   private void removeOld() {
     losses.values().removeIf(loss -> clock.since(loss.atNanos).compareTo(MAX_AGE) > 0);
-    if (losses.size() >= MAX_LOSSES) {
+    while (losses.size() >= MAX_LOSSES || suspectPartCount() >= MAX_SUSPECT_PARTS) {
       losses.remove(losses.keySet().iterator().next());
     }
   }
 
+  private int suspectPartCount() {
+    return losses.values().stream().mapToInt(loss -> loss.suspectPartIds.size()).sum();
+  }
+
   /**
    * Clears parts of all suspicion.
    *
--- a/core/src/main/java/org/galenapost/core/quarantine/PromptPartQuarantine.java
+++ b/core/src/main/java/org/galenapost/core/quarantine/PromptPartQuarantine.java
@@ -28,7 +28,7 @@
   /** The events of a stream after which its server is past the beginning of the answer. */
   public static final int PROOF_EVENTS = 16;
 
-  private static final Duration QUERY_INTERVAL = Duration.ofMillis(250);
+  private static final Duration QUERY_INTERVAL = Duration.ofSeconds(1);
   private static final int QUERIED_PEERS = 3;
 
   private final PeerBus peers;
--- a/core/src/test/java/org/galenapost/core/quarantine/PromptPartQuarantineTest.java
+++ b/core/src/test/java/org/galenapost/core/quarantine/PromptPartQuarantineTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.galenapost.core.generation.RequestDigest;
 import org.galenapost.core.testing.FakePeers;
 import org.galenapost.core.testing.VirtualTime;
@@ -128,6 +129,24 @@
     assertThat(restarted.check(DEADLY_REQUEST)).isPresent();
   }
 
+  @Test
+  void forgetsTheOldestLossesWhenRequestsNameVeryManyParts() {
+    // GIVEN
+    for (int server = 0; server < 3; server++) {
+      lose(first, "s" + server, DEADLY_REQUEST);
+    }
+    List<String> manyParts = IntStream.range(0, 10_000).mapToObj(i -> "p" + i).toList();
+
+    // WHEN
+    for (int server = 3; server < 7; server++) {
+      lose(first, "s" + server, manyParts);
+    }
+
+    // THEN
+    assertThat(first.check(DEADLY_REQUEST)).isEmpty();
+    assertThat(first.check(manyParts.subList(0, 5))).as("losses that are kept").isEmpty();
+  }
+
   /** The crashing requests are all new, so the sound one is the only suspect on its servers. */
   @Test
   void soundRequestIsNotRefusedForServersThatItSharedWithCrashingOnes() {
