Tell daemons that were cut off which parts of prompts are refused

Found by reading, after the deadly part was stopped: a daemon asked the others for their losses only when it started. One that was cut off while a part was found had to lose three servers of its own before it refused it, and one that missed an answer refused a sound part for ten minutes.

Losses under refused parts go to one random daemon a second; one that has seen an answer since says so. That replaces the queries at the start. Parts that were cleared stay cleared when older reports arrive late. The tests of a daemon that starts and of one that missed an answer failed without the reports.

Nothing is sent while no part is refused.

--- a/core/src/main/java/org/galenapost/core/quarantine/PartLosses.java
+++ b/core/src/main/java/org/galenapost/core/quarantine/PartLosses.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -9,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.galenapost.core.time.MonotonicClock;
 
 /**
@@ -47,6 +49,7 @@
 
   private final MonotonicClock clock;
   private final Map<String, Loss> losses = new LinkedHashMap<>();
+  private final Map<String, Long> clearedAtNanos = new LinkedHashMap<>();
 
   private record Loss(long atNanos, Set<String> suspectPartIds) {
 
@@ -64,7 +67,8 @@
   }
 
   /**
-   * Adds the loss of a server, or further suspect parts of a known loss.
+   * Adds the loss of a server, or further suspect parts of a known loss. Parts that have been
+   * cleared since are not suspect.
    *
    * @param serverId the server
    * @param partIds the parts that the server had not begun to answer
@@ -76,11 +80,27 @@
     Loss known = losses.get(serverId);
     Loss loss = known == null ? new Loss(clock.nanos() - age.toNanos(), new HashSet<>()) : known;
     losses.put(serverId, loss);
-    return loss.suspectPartIds.addAll(partIds) || known == null;
+    List<String> suspects =
+        partIds.stream().filter(partId -> !isClearedSince(loss.atNanos, partId)).toList();
+    return loss.suspectPartIds.addAll(suspects) || known == null;
+  }
+
+  private boolean isClearedSince(long lossNanos, String partId) {
+    Long clearedNanos = clearedAtNanos.get(partId);
+    return clearedNanos != null && clearedNanos - lossNanos >= 0;
+  }
+
+  /** Returns the given parts that have been cleared since a loss. */
+  Set<String> clearedSince(Duration lossAge, Collection<String> partIds) {
+    long lossNanos = clock.nanos() - lossAge.toNanos();
+    return partIds.stream()
+        .filter(partId -> isClearedSince(lossNanos, partId))
+        .collect(Collectors.toUnmodifiableSet());
   }
 
   private void removeOld() {
     losses.values().removeIf(loss -> clock.since(loss.atNanos).compareTo(MAX_AGE) > 0);
+    clearedAtNanos.values().removeIf(nanos -> clock.since(nanos).compareTo(MAX_AGE) > 0);
     while (losses.size() >= MAX_LOSSES || suspectPartCount() >= MAX_SUSPECT_PARTS) {
       losses.remove(losses.keySet().iterator().next());
     }
@@ -97,10 +117,14 @@
    */
   Set<String> clear(Collection<String> partIds) {
     Set<String> cleared = new HashSet<>();
+    if (clearedAtNanos.size() >= MAX_SUSPECT_PARTS) {
+      clearedAtNanos.clear();
+    }
     for (Loss loss : losses.values()) {
       for (String partId : partIds) {
         if (loss.suspectPartIds.remove(partId)) {
           cleared.add(partId);
+          clearedAtNanos.put(partId, clock.nanos());
         }
       }
     }
@@ -182,9 +206,10 @@
     return countedLosses(partId).size();
   }
 
-  /** Returns a report of each loss, for a daemon that starts. */
-  List<PartLossReport> reports() {
+  /** Returns a report of each loss for which one of the given parts is suspect. */
+  List<PartLossReport> reportsOf(Set<String> partIds) {
     return losses.entrySet().stream()
+        .filter(entry -> !Collections.disjoint(entry.getValue().suspectPartIds, partIds))
         .map(
             entry ->
                 new PartLossReport(
--- a/core/src/main/java/org/galenapost/core/quarantine/PromptPartQuarantine.java
+++ b/core/src/main/java/org/galenapost/core/quarantine/PromptPartQuarantine.java
@@ -1,6 +1,7 @@
 package org.galenapost.core.quarantine;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -11,6 +12,7 @@
 import java.util.function.Consumer;
 import org.galenapost.core.peer.PeerBus;
 import org.galenapost.core.time.MonotonicClock;
+import org.galenapost.core.time.RandomSource;
 import org.galenapost.core.time.Scheduler;
 import org.galenapost.core.verdict.Refusal;
 import org.galenapost.core.verdict.RefusalReason;
@@ -20,22 +22,23 @@
  * and refuses requests with such a part. Requests that share other parts, the caller or a lost
  * server with them are not refused.
  *
- * <p>Daemons report their losses to each other, so that all refuse the same parts. A daemon that
- * starts queries the daemons that it meets first. Not safe for use by several threads.
+ * <p>Daemons report their losses to each other, so that all refuse the same parts. The losses under
+ * refused parts are also reported to one random daemon at regular intervals, so that a daemon that
+ * starts, or was cut off, learns them. Not safe for use by several threads.
  */
 public final class PromptPartQuarantine {
 
   /** The events of a stream after which its server is past the beginning of the answer. */
   public static final int PROOF_EVENTS = 16;
 
-  private static final Duration QUERY_INTERVAL = Duration.ofSeconds(1);
-  private static final int QUERIED_PEERS = 3;
+  /** Well below the time within which a daemon that starts or was cut off must know the parts. */
+  private static final Duration EXCHANGE_PERIOD = Duration.ofSeconds(1);
 
   private final PeerBus peers;
   private final Scheduler scheduler;
+  private final RandomSource random;
   private final Listener listener;
   private final PartLosses losses;
-  private final Set<String> queriedPeerIds = new HashSet<>();
   private final Set<String> refusedPartIds = new HashSet<>();
   private final Set<Watch> watches = new LinkedHashSet<>();
   private boolean isRunning;
@@ -75,53 +78,61 @@
    *
    * @param peers the other daemons
    * @param clock elapsed time
-   * @param scheduler runs the queries after the start
+   * @param scheduler runs the periodic reports
+   * @param random chooses the receiver of a report
    * @param listener is notified of decisions
    */
   public PromptPartQuarantine(
-      PeerBus peers, MonotonicClock clock, Scheduler scheduler, Listener listener) {
+      PeerBus peers,
+      MonotonicClock clock,
+      Scheduler scheduler,
+      RandomSource random,
+      Listener listener) {
     this.peers = Objects.requireNonNull(peers, "peers");
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
+    this.random = Objects.requireNonNull(random, "random");
     this.listener = Objects.requireNonNull(listener, "listener");
     this.losses = new PartLosses(clock);
   }
 
-  /** Starts to receive the reports of other daemons and queries the first ones. */
+  /** Starts to receive the reports of other daemons, and the periodic reports to one of them. */
   public void start() {
     isRunning = true;
-    peers.onMessage(PartLossReport.class, (sender, report) -> merge(report));
+    peers.onMessage(PartLossReport.class, this::merge);
     peers.onMessage(PartProof.class, (sender, proof) -> clear(proof.partIds()));
-    peers.onMessage(PartLossQuery.class, (sender, query) -> sendLossesTo(sender));
-    queryFirstPeers();
+    scheduleExchange();
   }
 
-  /** Stops querying other daemons. */
+  /** Stops the periodic reports. */
   public void stop() {
     isRunning = false;
   }
 
-  private void queryFirstPeers() {
+  private void scheduleExchange() {
+    scheduler.schedule(random.jitter(EXCHANGE_PERIOD), this::reportToOnePeer);
+  }
+
+  private void reportToOnePeer() {
     if (!isRunning) {
       return;
     }
-    for (String peerId : peers.livePeerIds()) {
-      if (queriedPeerIds.size() < QUERIED_PEERS && queriedPeerIds.add(peerId)) {
-        peers.send(peerId, new PartLossQuery());
-      }
-    }
-    if (queriedPeerIds.size() < QUERIED_PEERS) {
-      scheduler.schedule(QUERY_INTERVAL, this::queryFirstPeers);
+    List<String> peerIds = new ArrayList<>(peers.livePeerIds());
+    if (!peerIds.isEmpty()) {
+      String peerId = peerIds.get(random.nextIndex(peerIds.size()));
+      losses.reportsOf(refusedPartIds).forEach(report -> peers.send(peerId, report));
     }
+    scheduleExchange();
   }
 
-  private void merge(PartLossReport report) {
-    if (losses.add(report.serverId(), report.partIds(), Duration.ofMillis(report.ageMs()))) {
+  private void merge(String sender, PartLossReport report) {
+    Duration age = Duration.ofMillis(report.ageMs());
+    if (losses.add(report.serverId(), report.partIds(), age)) {
       scheduler.schedule(PartLosses.SETTLING_TIME, this::notifyWatches);
     }
-  }
-
-  private void sendLossesTo(String daemonId) {
-    losses.reports().forEach(report -> peers.send(daemonId, report));
+    Set<String> cleared = losses.clearedSince(age, report.partIds());
+    if (!cleared.isEmpty()) {
+      peers.send(sender, new PartProof(cleared));
+    }
   }
 
   /**
--- a/core/src/test/java/org/galenapost/core/quarantine/PromptPartQuarantineProperties.java
+++ b/core/src/test/java/org/galenapost/core/quarantine/PromptPartQuarantineProperties.java
@@ -75,7 +75,11 @@
       for (int daemon = 0; daemon < DAEMONS; daemon++) {
         PromptPartQuarantine quarantine =
             new PromptPartQuarantine(
-                peers.bus("d" + daemon), time, time, PromptPartQuarantine.Listener.NONE);
+                peers.bus("d" + daemon),
+                time,
+                time,
+                random::nextDouble,
+                PromptPartQuarantine.Listener.NONE);
         quarantine.start();
         daemons.add(quarantine);
       }
--- a/core/src/test/java/org/galenapost/core/quarantine/PromptPartQuarantineTest.java
+++ b/core/src/test/java/org/galenapost/core/quarantine/PromptPartQuarantineTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.stream.IntStream;
 import org.galenapost.core.generation.RequestDigest;
 import org.galenapost.core.testing.FakePeers;
@@ -22,6 +23,7 @@
 
   private final FakePeers peers = new FakePeers();
   private final VirtualTime time = new VirtualTime();
+  private final Random random = new Random(2412);
   private final List<String> decisions = new ArrayList<>();
   private final PromptPartQuarantine first = daemon("d1");
   private final PromptPartQuarantine second = daemon("d2");
@@ -116,19 +118,41 @@
   }
 
   @Test
-  void daemonThatStartsRefusesThePartsThatTheOthersRefuse() {
+  void daemonThatStartsOrWasCutOffLearnsThePartsThatTheOthersRefuse() {
     // GIVEN
     for (int server = 0; server < 3; server++) {
       lose(first, "s" + server, DEADLY_REQUEST);
     }
+    assertThat(first.check(DEADLY_REQUEST)).isPresent();
 
     // WHEN
     PromptPartQuarantine restarted = daemon("d3");
+    time.advance(Duration.ofSeconds(6));
 
     // THEN
     assertThat(restarted.check(DEADLY_REQUEST)).isPresent();
   }
 
+  @Test
+  void daemonThatMissedAnAnswerIsToldOfIt() {
+    // GIVEN two daemons that refuse a part, one of which is cut off
+    for (int server = 0; server < 3; server++) {
+      lose(first, "s" + server, List.of(SYSTEM));
+    }
+    assertThat(first.check(List.of(SYSTEM))).isPresent();
+    peers.setCut("d1", true);
+
+    // WHEN a server answers at the other one
+    second.onAnswered(List.of(SYSTEM));
+    assertThat(first.check(List.of(SYSTEM))).isPresent();
+    peers.setCut("d1", false);
+    time.advance(Duration.ofSeconds(2));
+
+    // THEN neither refuses it
+    assertThat(first.check(List.of(SYSTEM))).isEmpty();
+    assertThat(second.check(List.of(SYSTEM))).isEmpty();
+  }
+
   @Test
   void forgetsTheOldestLossesWhenRequestsNameVeryManyParts() {
     // GIVEN
@@ -202,6 +226,7 @@
             network.bus(id),
             time,
             time,
+            random::nextDouble,
             new PromptPartQuarantine.Listener() {
               @Override
               public void onRefused(String partId, int lostServers) {
--- a/core/src/test/java/org/galenapost/core/testing/FakePeers.java
+++ b/core/src/test/java/org/galenapost/core/testing/FakePeers.java
@@ -13,6 +13,7 @@
 
   private final Map<String, Map<Class<?>, BiConsumer<String, PeerMessage>>> handlers =
       new HashMap<>();
+  private final Set<String> cutDaemonIds = new HashSet<>();
 
   public PeerBus bus(String selfId) {
     handlers.put(selfId, new HashMap<>());
@@ -26,6 +27,9 @@
 
       @Override
       public void send(String daemonId, PeerMessage message) {
+        if (cutDaemonIds.contains(selfId) || cutDaemonIds.contains(daemonId)) {
+          return;
+        }
         BiConsumer<String, PeerMessage> handler =
             handlers.getOrDefault(daemonId, Map.of()).get(message.getClass());
         if (handler != null) {
@@ -42,6 +46,15 @@
     };
   }
 
+  /** Drops all messages from and to a daemon, or no longer. */
+  public void setCut(String daemonId, boolean isCut) {
+    if (isCut) {
+      cutDaemonIds.add(daemonId);
+    } else {
+      cutDaemonIds.remove(daemonId);
+    }
+  }
+
   public void stop(String daemonId) {
     handlers.remove(daemonId);
   }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -251,7 +251,8 @@
     ServerConnectionPool pool =
         new ServerConnectionPool(loop, format, clock, settings.timings().connectTimeout());
     PromptPartQuarantine partQuarantine =
-        new PromptPartQuarantine(bus, clock, scheduler, GatewayLog.promptParts());
+        new PromptPartQuarantine(
+            bus, clock, scheduler, random::nextDouble, GatewayLog.promptParts());
     Quarantine quarantine =
         new Quarantine(bus, InstantSource.system(), clock, partQuarantine::isCauseOfLoss);
     SendBudget budget = sendBudget();
--- a/daemon/src/main/java/org/galenapost/daemon/peer/PeerMessageTypes.java
+++ b/daemon/src/main/java/org/galenapost/daemon/peer/PeerMessageTypes.java
@@ -25,7 +25,6 @@
 import org.galenapost.core.membership.MembershipMessage;
 import org.galenapost.core.peer.PeerMessage;
 import org.galenapost.core.quarantine.IsolationClaim;
-import org.galenapost.core.quarantine.PartLossQuery;
 import org.galenapost.core.quarantine.PartLossReport;
 import org.galenapost.core.quarantine.PartProof;
 import org.galenapost.core.quarantine.SuspicionQuery;
@@ -58,7 +57,6 @@
           new NamedType(IsolationClaim.class, "isolation-claim"),
           new NamedType(PartLossReport.class, "part-loss-report"),
           new NamedType(PartProof.class, "part-proof"),
-          new NamedType(PartLossQuery.class, "part-loss-query"),
           new NamedType(DemandReport.class, "demand-report"),
           new NamedType(DemandTotals.class, "demand-totals"),
           new NamedType(MembershipMessage.Heartbeat.class, "heartbeat"),
--- a/daemon/src/test/java/org/galenapost/daemon/peer/PeerCodecRoundTripTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/peer/PeerCodecRoundTripTest.java
@@ -16,7 +16,6 @@
 import org.galenapost.core.generation.RequestDigest;
 import org.galenapost.core.peer.PeerMessage;
 import org.galenapost.core.quarantine.IsolationClaim;
-import org.galenapost.core.quarantine.PartLossQuery;
 import org.galenapost.core.quarantine.PartLossReport;
 import org.galenapost.core.quarantine.PartProof;
 import org.galenapost.core.quarantine.ServerLoss;
@@ -41,7 +40,6 @@
         new PartLossReport("s1", Set.of("5c1e", "91bd"), 250),
         new PartLossReport("s1", Set.of(), 0),
         new PartProof(Set.of("5c1e")),
-        new PartLossQuery(),
         new SuspicionQuery(),
         new SuspicionUpdate(DIGEST, 2, List.of(death)),
         new IsolationClaim("s1", DIGEST, true));
