--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -250,11 +250,7 @@
     InstanceHealth health = new InstanceHealth(clock);
     ServerConnectionPool pool =
         new ServerConnectionPool(loop, format, clock, settings.timings().connectTimeout());
-    PromptPartQuarantine partQuarantine =
-        new PromptPartQuarantine(
-            bus, clock, scheduler, random::nextDouble, GatewayLog.promptParts());
-    Quarantine quarantine =
-        new Quarantine(bus, InstantSource.system(), clock, partQuarantine::isCauseOfLoss);
+    PromptPartQuarantine partQuarantine = promptPartQuarantine();
     SendBudget budget = sendBudget();
     IntSupplier liveDaemonCount = () -> bus.livePeerIds().size() + 1;
     CellBus cellBus = new CellBus(bus, cells);
@@ -267,8 +263,6 @@
     services.add(Service.of("instance-news", statusBroadcaster::start, () -> {}));
     services.add(Service.of("retired-servers", retiredExchange::start, retiredExchange::stop));
     services.add(new UseReportExchange(useTracker, cellBus, scheduler));
-    services.add(Service.of("quarantine", quarantine::start, () -> {}));
-    services.add(Service.of("prompt-part-quarantine", partQuarantine::start, partQuarantine::stop));
     InstancePaces paces = new InstancePaces();
     services.add(new InstanceCleaner(directory, health, pauses, paces, scheduler));
     return new GatewayContext(
@@ -292,7 +286,7 @@
         statusBroadcaster,
         budget,
         new RetryLoans(budget, cellBus, scheduler, liveDaemonCount, random::nextDouble),
-        quarantine,
+        requestQuarantine(partQuarantine),
         partQuarantine,
         stallGuard,
         paces,
@@ -301,6 +295,21 @@
         liveDaemonCount);
   }
 
+  private PromptPartQuarantine promptPartQuarantine() {
+    PromptPartQuarantine quarantine =
+        new PromptPartQuarantine(
+            bus, clock, scheduler, random::nextDouble, GatewayLog.promptParts());
+    services.add(Service.of("prompt-part-quarantine", quarantine::start, quarantine::stop));
+    return quarantine;
+  }
+
+  private Quarantine requestQuarantine(PromptPartQuarantine partQuarantine) {
+    Quarantine quarantine =
+        new Quarantine(bus, InstantSource.system(), clock, partQuarantine::isCauseOfLoss);
+    services.add(Service.of("quarantine", quarantine::start, () -> {}));
+    return quarantine;
+  }
+
   private SendBudget sendBudget() {
     RepeatSettings repeats = settings.repeats();
     return new SendBudget(
