Announce a newer configuration to peers as soon as it is held

Cause: a daemon that learned a configuration told nobody. Others that the store did not show it to, as after a restore from a copy made before it, learned it only by pulling from one random peer a second.

Change: a daemon that holds a newer content version sends a notice to up to 8 peers; a peer that the store has not shown it to within the pause of a watch and 0.2 s pulls it from the sender, and notifies others in turn.

Ordinary changes cost one small message to each of up to 8 peers.

--- a/core/src/main/java/org/galenapost/core/configuration/ConfigurationFollower.java
+++ b/core/src/main/java/org/galenapost/core/configuration/ConfigurationFollower.java
@@ -21,6 +21,7 @@
   private final List<KindWatch> watches = new ArrayList<>();
   private final ConfigurationExchange exchange;
   private final WatchSharing sharing;
+  private final VersionNotices notices;
   private final PeerColdStart coldStart;
   private final Set<ConfigurationKind> listedKinds = EnumSet.noneOf(ConfigurationKind.class);
   private volatile boolean isReady;
@@ -99,11 +100,13 @@
               sharing::report));
     }
     exchange = new ConfigurationExchange(state, bus, scheduler, random, settings.pullPeriod());
+    notices = new VersionNotices(state, bus, scheduler, random, assignment);
     coldStart = new PeerColdStart(state, bus, scheduler, () -> isReady = true);
   }
 
   /** Starts the watches, the periodic reports and pulls, and the cold start from the peers. */
   public void start() {
+    notices.start();
     watches.forEach(KindWatch::start);
     sharing.start();
     exchange.start();
@@ -117,6 +120,7 @@
     watches.forEach(KindWatch::stop);
     sharing.stop();
     exchange.stop();
+    notices.stop();
     coldStart.stop();
   }
 
--- a/core/src/main/java/org/galenapost/core/configuration/ConfigurationMessage.java
+++ b/core/src/main/java/org/galenapost/core/configuration/ConfigurationMessage.java
@@ -57,6 +57,18 @@
     }
   }
 
+  /**
+   * Notifies of a newer configuration.
+   *
+   * @param held the sender's revision of the kind
+   */
+  record VersionNotice(KindRevision held) implements ConfigurationMessage {
+    /** Checks that the revision is present. */
+    public VersionNotice {
+      Objects.requireNonNull(held, "held");
+    }
+  }
+
   /** Requests the revisions that a daemon has in force. */
   record RevisionsQuery() implements ConfigurationMessage {}
 
--- a/daemon/src/main/java/org/galenapost/daemon/peer/PeerMessageTypes.java
+++ b/daemon/src/main/java/org/galenapost/daemon/peer/PeerMessageTypes.java
@@ -42,6 +42,7 @@
           new NamedType(ConfigurationMessage.Pull.class, "configuration-pull"),
           new NamedType(ConfigurationMessage.Update.class, "configuration-update"),
           new NamedType(ConfigurationMessage.WatchReport.class, "watch-report"),
+          new NamedType(ConfigurationMessage.VersionNotice.class, "version-notice"),
           new NamedType(ConfigurationMessage.RevisionsQuery.class, "revisions-query"),
           new NamedType(ConfigurationMessage.RevisionsReport.class, "revisions-report"),
           new NamedType(ConfigurationMessage.InForceQuery.class, "in-force-query"),
