Compare the configuration of a daemon that starts with its peers

Cause: a daemon was ready, and took calls before that, as soon as it had listed the store. Nothing asked whether a peer knows a newer configuration.

The outcome is logged (configuration_confirmed_by_peers).

--- a/core/src/main/java/org/galenapost/core/configuration/ConfigurationExchange.java
+++ b/core/src/main/java/org/galenapost/core/configuration/ConfigurationExchange.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.galenapost.core.peer.PeerBus;
 import org.galenapost.core.time.RandomSource;
 import org.galenapost.core.time.Scheduler;
@@ -19,6 +20,7 @@
   private final Scheduler scheduler;
   private final RandomSource random;
   private final Duration pullPeriod;
+  private final BooleanSupplier isReady;
   private volatile boolean isRunning;
 
   ConfigurationExchange(
@@ -26,12 +28,14 @@
       PeerBus bus,
       Scheduler scheduler,
       RandomSource random,
-      Duration pullPeriod) {
+      Duration pullPeriod,
+      BooleanSupplier isReady) {
     this.state = state;
     this.bus = bus;
     this.scheduler = scheduler;
     this.random = random;
     this.pullPeriod = pullPeriod;
+    this.isReady = isReady;
     bus.onMessage(ConfigurationMessage.Push.class, (sender, push) -> state.merge(push.record()));
     bus.onMessage(
         ConfigurationMessage.Update.class, (sender, update) -> state.merge(update.update()));
@@ -90,7 +94,9 @@
 
   private void sendRevisions(String sender) {
     if (state.isComplete()) {
-      bus.send(sender, new ConfigurationMessage.RevisionsReport(state.revisions()));
+      bus.send(
+          sender,
+          new ConfigurationMessage.RevisionsReport(state.revisions(), isReady.getAsBoolean()));
     }
   }
 
--- a/core/src/main/java/org/galenapost/core/configuration/ConfigurationFollower.java
+++ b/core/src/main/java/org/galenapost/core/configuration/ConfigurationFollower.java
@@ -13,7 +13,8 @@
 
 /**
  * Keeps the configuration state up to date from the platform and the peers. The state is ready
- * after a full listing of every kind, or once it has reached the highest revision of the peers.
+ * after a full listing of every kind and a comparison with the peers, or once it has reached the
+ * highest revision of the peers.
  */
 public final class ConfigurationFollower {
 
@@ -23,6 +24,7 @@
   private final WatchSharing sharing;
   private final VersionNotices notices;
   private final PeerColdStart coldStart;
+  private final PeerVersionCheck versionCheck;
   private final Set<ConfigurationKind> listedKinds = EnumSet.noneOf(ConfigurationKind.class);
   private volatile boolean isReady;
 
@@ -52,7 +54,8 @@
         random,
         FollowSettings.withWatchWait(watchWait),
         WatchAssignment.always(),
-        new PlatformReachability(() -> 0, isReachable -> {}));
+        new PlatformReachability(() -> 0, isReachable -> {}),
+        StartCheck.withoutPeers());
   }
 
   /**
@@ -66,6 +69,7 @@
    * @param settings the watch wait, the maximum backoff and the pull period
    * @param assignment whether this daemon watches the platform, and which peers it reports to
    * @param reachability records whether the platform answers
+   * @param startCheck what the comparison with the peers depends on
    */
   public ConfigurationFollower(
       ConfigurationHolder state,
@@ -75,7 +79,8 @@
       RandomSource random,
       FollowSettings settings,
       WatchAssignment assignment,
-      PlatformReachability reachability) {
+      PlatformReachability reachability,
+      StartCheck startCheck) {
     this.followedKinds = state.kinds();
     sharing =
         new WatchSharing(
@@ -99,9 +104,13 @@
               () -> markListed(kind),
               sharing::report));
     }
-    exchange = new ConfigurationExchange(state, bus, scheduler, random, settings.pullPeriod());
+    exchange =
+        new ConfigurationExchange(
+            state, bus, scheduler, random, settings.pullPeriod(), this::isReady);
     notices = new VersionNotices(state, bus, scheduler, random, assignment);
-    coldStart = new PeerColdStart(state, bus, scheduler, () -> isReady = true);
+    coldStart = new PeerColdStart(state, bus, scheduler, this::becomeReady);
+    versionCheck =
+        new PeerVersionCheck(state, bus, scheduler, random, startCheck, this::becomeReady);
   }
 
   /** Starts the watches, the periodic reports and pulls, and the cold start from the peers. */
@@ -122,6 +131,11 @@
     exchange.stop();
     notices.stop();
     coldStart.stop();
+    versionCheck.stop();
+  }
+
+  private void becomeReady() {
+    isReady = true;
   }
 
   private void pollOnce(ConfigurationKind kind) {
@@ -150,7 +164,9 @@
         return;
       }
     }
-    isReady = true;
     coldStart.stop();
+    if (!isReady) {
+      versionCheck.start();
+    }
   }
 }
--- a/core/src/main/java/org/galenapost/core/configuration/ConfigurationMessage.java
+++ b/core/src/main/java/org/galenapost/core/configuration/ConfigurationMessage.java
@@ -76,8 +76,10 @@
    * Answers a {@link RevisionsQuery}.
    *
    * @param revisions the sender's revision of each kind
+   * @param isReady whether the sender serves requests by this configuration
    */
-  record RevisionsReport(List<KindRevision> revisions) implements ConfigurationMessage {
+  record RevisionsReport(List<KindRevision> revisions, boolean isReady)
+      implements ConfigurationMessage {
     /** Copies the revisions. */
     public RevisionsReport {
       revisions = List.copyOf(revisions);
--- a/core/src/test/java/org/galenapost/core/configuration/ConfigurationSpreadProperties.java
+++ b/core/src/test/java/org/galenapost/core/configuration/ConfigurationSpreadProperties.java
@@ -67,7 +67,8 @@
               random::nextDouble,
               SETTINGS,
               WatchAssignment.always(),
-              new PlatformReachability(time, isReachable -> {}));
+              new PlatformReachability(time, isReachable -> {}),
+              StartCheck.withoutPeers());
     }
 
     private long contentVersion() {
--- a/core/src/test/java/org/galenapost/core/configuration/WatchSharingTest.java
+++ b/core/src/test/java/org/galenapost/core/configuration/WatchSharingTest.java
@@ -158,7 +158,8 @@
               random::nextDouble,
               FollowSettings.withWatchWait(Duration.ofSeconds(20)),
               assignment,
-              new PlatformReachability(time, isReachable -> {}));
+              new PlatformReachability(time, isReachable -> {}),
+              StartCheck.withoutPeers());
     }
 
     boolean isWatcher() {
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.galenapost.core.cell.CellBus;
 import org.galenapost.core.cell.FleetCells;
@@ -18,6 +19,7 @@
 import org.galenapost.core.configuration.ConfigurationKind;
 import org.galenapost.core.configuration.ConfigurationState;
 import org.galenapost.core.configuration.FollowSettings;
+import org.galenapost.core.configuration.StartCheck;
 import org.galenapost.core.configuration.WatchAssignment;
 import org.galenapost.core.dispatch.InstanceChooser;
 import org.galenapost.core.dispatch.InstanceHealth;
@@ -37,6 +39,7 @@
 import org.galenapost.core.platform.PlatformReachability;
 import org.galenapost.core.quarantine.PromptPartQuarantine;
 import org.galenapost.core.quarantine.Quarantine;
+import org.galenapost.core.route.RouteTable;
 import org.galenapost.core.route.RouteTableHolder;
 import org.galenapost.core.time.MonotonicClock;
 import org.galenapost.core.time.Scheduler;
@@ -138,6 +141,7 @@
   }
 
   private GatewayDaemon build() {
+    EventLoopStallGuard stallGuard = new EventLoopStallGuard(eventLoops.group(), clock);
     PlatformReachability reachability =
         new PlatformReachability(clock, GatewayLog::storeReachabilityChanged);
     RouteTableHolder routes =
@@ -151,19 +155,26 @@
     FleetCells cells =
         new FleetCells(
             settings.daemon().id(), bus::livePeerIds, directory, GatewayLog::cellChanged);
-    ConfigurationFollower follower = configurationFollower(configuration, cells, reachability);
+    MembershipController membership = membershipController(stallGuard);
+    RegistrationController registration = registrationController(membership);
+    ConfigurationFollower follower =
+        configurationFollower(
+            configuration, cells, reachability, () -> knownPeerCount(registration));
     DaemonState state = new DaemonState(() -> follower.isReady() && routes.current().isPresent());
-    EventLoopStallGuard stallGuard = new EventLoopStallGuard(eventLoops.group(), clock);
     services.add(eventLoops);
     services.add(client);
     services.add(bus);
     services.add(stallGuard);
-    addMembership(stallGuard);
+    services.add(membership);
+    services.add(registration);
+    metrics.registerGauge("galenapost.peers.live", () -> membership.liveIds().size());
     services.add(Service.of("configuration", follower::start, follower::stop));
     GatewayContext context = gatewayContext(directory, cells, stallGuard);
+    Supplier<Optional<RouteTable>> routesInForce =
+        () -> follower.isReady() ? routes.current() : Optional.empty();
     RequestValidator validator =
-        new RequestValidator(format, routes::current, state, random::nextDouble);
-    CallerFrontend frontend = new CallerFrontend(context, validator, routes::current, state, calls);
+        new RequestValidator(format, routesInForce, state, random::nextDouble);
+    CallerFrontend frontend = new CallerFrontend(context, validator, routesInForce, state, calls);
     HttpListener caller =
         new HttpListener(
             "caller",
@@ -185,7 +196,10 @@
   }
 
   private ConfigurationFollower configurationFollower(
-      ConfigurationState configuration, FleetCells cells, PlatformReachability reachability) {
+      ConfigurationState configuration,
+      FleetCells cells,
+      PlatformReachability reachability,
+      IntSupplier knownPeerCount) {
     WatchAssignment assignment =
         new WatchAssignment(
             settings.daemon().id(),
@@ -202,7 +216,18 @@
         random::nextDouble,
         new FollowSettings(watchWait(), MAX_STORE_BACKOFF, PULL_PERIOD),
         assignment,
-        reachability);
+        reachability,
+        new StartCheck(knownPeerCount, GatewayLog::configurationCompared));
+  }
+
+  /** Returns the number of other daemons that may be running, registered or set as seeds. */
+  private int knownPeerCount(RegistrationController registration) {
+    PeerAddress own = bus.ownAddress();
+    long otherSeeds =
+        settings.peer().seeds().stream()
+            .filter(seed -> !new PeerAddress(seed.ip(), seed.port()).equals(own))
+            .count();
+    return Math.max(registration.otherDaemonCount(), (int) otherSeeds);
   }
 
   private Duration watchWait() {
@@ -210,26 +235,25 @@
     return configured.compareTo(MAX_WATCH_WAIT) < 0 ? configured : MAX_WATCH_WAIT;
   }
 
-  private void addMembership(EventLoopStallGuard stallGuard) {
-    MembershipController membership =
-        new MembershipController(
-            settings.daemon(),
-            bus,
-            self -> heartbeatMembership(stallGuard, self),
-            MEMBERSHIP.period(),
-            InstantSource.system(),
-            scheduler,
-            random::nextDouble);
-    services.add(membership);
-    services.add(
-        new RegistrationController(
-            settings.daemon(),
-            store,
-            bus::ownAddress,
-            hosts -> membership.onHosts(new HostList(0, hosts)),
-            scheduler,
-            random::nextDouble));
-    metrics.registerGauge("galenapost.peers.live", () -> membership.liveIds().size());
+  private MembershipController membershipController(EventLoopStallGuard stallGuard) {
+    return new MembershipController(
+        settings.daemon(),
+        bus,
+        self -> heartbeatMembership(stallGuard, self),
+        MEMBERSHIP.period(),
+        InstantSource.system(),
+        scheduler,
+        random::nextDouble);
+  }
+
+  private RegistrationController registrationController(MembershipController membership) {
+    return new RegistrationController(
+        settings.daemon(),
+        store,
+        bus::ownAddress,
+        hosts -> membership.onHosts(new HostList(0, hosts)),
+        scheduler,
+        random::nextDouble);
   }
 
   private HeartbeatMembership heartbeatMembership(
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayLog.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayLog.java
@@ -3,10 +3,12 @@
 import java.util.Optional;
 import org.galenapost.core.cell.FleetCells;
 import org.galenapost.core.configuration.ConfigurationRecord;
+import org.galenapost.core.configuration.StartCheck;
 import org.galenapost.core.instance.InstanceChange;
 import org.galenapost.core.quarantine.PromptPartQuarantine;
 import org.galenapost.core.route.RouteTable;
 import org.galenapost.daemon.log.EventLog;
+import org.galenapost.daemon.log.LogEvent;
 import org.galenapost.daemon.settings.GatewaySettings;
 
 /** Logs start and stop of the gateway and changes of its configuration, store and servers. */
@@ -60,6 +62,15 @@
         .write();
   }
 
+  /** Logs whether the peers confirmed the configuration with which this daemon starts. */
+  static void configurationCompared(StartCheck.Outcome outcome) {
+    LogEvent event =
+        outcome.isConfirmed()
+            ? LOG.info("configuration_confirmed_by_peers")
+            : LOG.warn("configuration_not_confirmed_by_peers");
+    event.with("answers", outcome.answers()).write();
+  }
+
   static void configurationFaulty(ConfigurationRecord record, String fault) {
     LOG.warn("configuration_faulty")
         .with("name", record.name())
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/RegistrationController.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/RegistrationController.java
@@ -43,6 +43,7 @@
   private final RandomSource random;
   private volatile boolean isRunning;
   private boolean isConflictRetried;
+  private volatile int otherDaemonCount = Integer.MAX_VALUE;
 
   RegistrationController(
       DaemonSettings daemon,
@@ -84,6 +85,14 @@
     isRunning = false;
   }
 
+  /**
+   * Returns the number of other registered daemons, whether they run or not; {@link
+   * Integer#MAX_VALUE} before the first listing.
+   */
+  int otherDaemonCount() {
+    return otherDaemonCount;
+  }
+
   private void registerOwnAddress(long expectedVersion) {
     if (!isRunning) {
       return;
@@ -138,10 +147,7 @@
   }
 
   private void onListed(Either<PlatformError, Listing> result) {
-    result.peek(
-        listing ->
-            onHosts.accept(
-                listing.objects().stream().flatMap(object -> hostOf(object).stream()).toList()));
+    result.peek(this::applyListing);
     result.peekLeft(error -> LOG.warn("daemons_not_listed").with("error", error).write());
     boolean isOwnEntryLost =
         result.isRight()
@@ -159,6 +165,13 @@
     }
   }
 
+  private void applyListing(Listing listing) {
+    List<Host> hosts =
+        listing.objects().stream().flatMap(object -> hostOf(object).stream()).toList();
+    onHosts.accept(hosts);
+    otherDaemonCount = (int) hosts.stream().filter(host -> !host.id().equals(daemon.id())).count();
+  }
+
   private static Optional<Host> hostOf(VersionedObject object) {
     Either<String, DaemonEntry> entry = Json.read(object.json(), DaemonEntry.class);
     if (entry.isLeft() || entry.get().ip() == null || entry.get().dataCentre() == null) {
