--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -175,14 +175,7 @@
     RequestValidator validator =
         new RequestValidator(format, routesInForce, state, random::nextDouble);
     CallerFrontend frontend = new CallerFrontend(context, validator, routesInForce, state, calls);
-    HttpListener caller =
-        new HttpListener(
-            "caller",
-            settings.caller().address().toSocketAddress(),
-            callerSocket,
-            eventLoops.group(),
-            WRITE_BUFFER_BYTES,
-            frontend);
+    HttpListener caller = callerListener(frontend);
     HttpListener operator = operatorListener(state);
     HttpListener readiness = readinessListener(state);
     services.add(operator);
@@ -341,6 +334,16 @@
         clock);
   }
 
+  private HttpListener callerListener(CallerFrontend frontend) {
+    return new HttpListener(
+        "caller",
+        settings.caller().address().toSocketAddress(),
+        callerSocket,
+        eventLoops.group(),
+        WRITE_BUFFER_BYTES,
+        frontend);
+  }
+
   private HttpListener listener(String role, InetSocketAddress address, PipelineSetup pipeline) {
     return new HttpListener(role, address, eventLoops.group(), WRITE_BUFFER_BYTES, pipeline);
   }
