Close idle connections to the store after one fell silent

Cause: a watch that got no answer in time was retried at once, but on an idle connection of the pool, which had fallen silent with it, so the retry hung for another 2.8 s. Listing and registering keep idle connections pooled.

Evidence: GatewayAgreementTest.appliesChangesInTimeAfterItsConnectionsToTheStoreFellSilent fails on the code before: a change that was accepted when the connections fell silent is not in force 3 s later, when promises with a time bound hold again.

Change: a call that times out on a connection closes the idle ones. The test passes, as the next watch uses a new connection.

--- a/daemon/src/main/java/org/galenapost/daemon/platform/PlatformCall.java
+++ b/daemon/src/main/java/org/galenapost/daemon/platform/PlatformCall.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
 import org.asynchttpclient.AsyncCompletionHandler;
 import org.asynchttpclient.Response;
 import org.asynchttpclient.netty.request.NettyRequest;
@@ -16,8 +17,18 @@
 
   private final CompletableFuture<Either<PlatformError, Response>> result =
       new CompletableFuture<>();
+  private final Runnable onTimeout;
   private volatile boolean wasSent;
 
+  /**
+   * Creates a handler.
+   *
+   * @param onTimeout run before the result if the connection gave no answer in time
+   */
+  PlatformCall(Runnable onTimeout) {
+    this.onTimeout = onTimeout;
+  }
+
   CompletableFuture<Either<PlatformError, Response>> result() {
     return result;
   }
@@ -35,6 +46,9 @@
 
   @Override
   public void onThrowable(Throwable error) {
+    if (wasSent && error instanceof TimeoutException) {
+      onTimeout.run();
+    }
     String detail = error.getClass().getSimpleName() + ": " + error.getMessage();
     result.complete(
         Either.left(
--- a/daemon/src/main/java/org/galenapost/daemon/platform/PlatformHttpClient.java
+++ b/daemon/src/main/java/org/galenapost/daemon/platform/PlatformHttpClient.java
@@ -133,7 +133,7 @@
 
   private CompletableFuture<Either<PlatformError, Response>> send(
       RequestBuilder request, Duration timeout) {
-    PlatformCall call = new PlatformCall();
+    PlatformCall call = new PlatformCall(this::closeIdleConnections);
     request.setRequestTimeout(timeout).setReadTimeout(timeout);
     try {
       client.executeRequest(request.build(), call);
@@ -143,6 +143,11 @@
     return call.result();
   }
 
+  /** After a connection fell silent, the idle ones may be silent too and would delay retries. */
+  private void closeIdleConnections() {
+    client.flushChannelPoolPartitions(partition -> true);
+  }
+
   private Either<PlatformError, Response> recordResult(Either<PlatformError, Response> callResult) {
     Either<PlatformError, Response> result = callResult.flatMap(PlatformHttpClient::checkStatus);
     boolean isRateExceeded =
