Read the number of the store's era whatever its size

What callers saw: refused as an older configuration says, long after the newer one was acknowledged (CONFIG, suspected).

Cause: the number of the era was read if it had at most four digits, and as 0 otherwise. From era 9,999 to 10,000, or with any larger first number, a restore was not noticed: listings then show revisions below the one held and were thrown away as late, and each watch was answered as gone, until the store's revision had passed the old one. All daemons kept the configuration and the servers that they had.

Change: the era of a version is the number modulo 2^21, so a later one is higher but for one restore in two million; revisions have 42 bits.

--- a/core/src/main/java/org/galenapost/core/platform/StoreVersion.java
+++ b/core/src/main/java/org/galenapost/core/platform/StoreVersion.java
@@ -1,5 +1,7 @@
 package org.galenapost.core.platform;
 
+import java.math.BigInteger;
+
 /**
  * Versions of a store that may be restored from a copy. A restored store gives out revisions again,
  * so a revision alone does not tell which of two writes is newer. A version combines the era of the
@@ -8,12 +10,17 @@
  */
 public final class StoreVersion {
 
-  private static final int REVISION_BITS = 48;
+  private static final int REVISION_BITS = 42;
   private static final long MAX_REVISION = (1L << REVISION_BITS) - 1;
   private static final long MAX_ERA = (1L << (Long.SIZE - 1 - REVISION_BITS)) - 1;
 
   private StoreVersion() {}
 
+  /** Returns the era of a store that numbers its eras; the number may be larger than an era. */
+  public static long eraOf(BigInteger number) {
+    return number.mod(BigInteger.valueOf(MAX_ERA + 1)).longValue();
+  }
+
   /**
    * Returns the version of a revision.
    *
--- a/standins/src/main/java/org/galenapost/standins/gateway/StoreStandin.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/StoreStandin.java
@@ -152,6 +152,11 @@
         });
   }
 
+  /** Sets the number of the era, before any daemon reads it. */
+  public void setEra(long number) {
+    server.runOnEventLoop(() -> era = number);
+  }
+
   /** Returns a copy of all objects, from which the store can be restored. */
   public Copy copy() {
     return server.callOnEventLoop(() -> new Copy(revision, copyOf(objects)));
