Restore the store from a copy in the soak

The soak and the scenarios never restored the store, although it is a fault from outside as any other: CONFIG faults after a restore had nothing to find them. Once a round, the store comes back from a copy up to 2.5 s old, and the operator and the servers write their content again within a second.

--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/GatewaySoak.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/GatewaySoak.java
@@ -29,6 +29,7 @@
   private static final int MIN_FAULT_MS = 200;
   private static final int MAX_FAULT_MS = 2_500;
   private static final int PLANNED_ACTIONS_PER_PHASE = 5;
+  private static final long RESTORE_SEED_FACTOR = 31;
 
   /** Starting or ending a fault takes milliseconds, so a few threads keep the schedule. */
   private static final int SCHEDULER_THREADS = 4;
@@ -81,6 +82,7 @@
       startCallers(fleet);
       executor.execute(this::watchForStalls);
       for (int round = 0; round < options.rounds(); round++) {
+        scheduleRestore(soakFaults, round);
         runFaultPhase(soakFaults);
         pause(SETTLE_TIME);
         runPlannedWorkPhase(soakFaults);
@@ -157,6 +159,13 @@
     pause(SoakOptions.FAULT_PHASE);
   }
 
+  /** Draws from a source of its own, so that the other faults of a seed stay as they were. */
+  private void scheduleRestore(SoakFaults soakFaults, int round) {
+    Random restoreRandom = new Random(options.seed() * RESTORE_SEED_FACTOR + round);
+    int delayMs = restoreRandom.nextInt((int) SoakOptions.FAULT_PHASE.toMillis());
+    schedule(delayMs, () -> soakFaults.restoreStore(restoreRandom));
+  }
+
   private void beginFault(SoakFaults soakFaults, Fault fault, int durationMs, Random ownRandom) {
     faultCount.incrementAndGet();
     Runnable endFault = soakFaults.begin(fault, ownRandom);
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFaults.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFaults.java
@@ -10,6 +10,7 @@
 import org.galenapost.scenarios.process.ManagedProcess;
 import org.galenapost.standins.gateway.ServerStandin.Behaviour;
 import org.galenapost.standins.gateway.StoreEndpoint.FaultMode;
+import org.galenapost.standins.gateway.StoreStandin;
 import org.galenapost.standins.gateway.StoreStandin.Mode;
 import org.galenapost.standins.link.LinkStandin;
 import org.galenapost.standins.relay.Direction;
@@ -27,6 +28,8 @@
       List.copyOf(EnumSet.range(Behaviour.FAILING, Behaviour.DYING_IN_STREAM));
 
   private static final int MAX_LINK_DELAY_MS = 400;
+  private static final int MAX_COPY_AGE_MS = 2_500;
+  private static final int MAX_REWRITE_DELAY_MS = 1_000;
   private static final Duration DRAIN_TIME = Duration.ofMillis(2_500);
 
   private final SoakFleet fleet;
@@ -169,6 +172,24 @@
     return server::replace;
   }
 
+  /** Restores the store from a copy of some age; what was written since is written again later. */
+  void restoreStore(Random random) {
+    Duration age = Duration.ofMillis(random.nextInt(MAX_COPY_AGE_MS));
+    Duration rewriteDelay = Duration.ofMillis(random.nextInt(MAX_REWRITE_DELAY_MS));
+    StoreStandin.Copy copy = fleet.store().copy();
+    executor.execute(
+        () -> {
+          ManagedProcess.pause(age);
+          Disturbances.Disturbance disturbance = history.disturbances().begin(Disturbances.ALL);
+          history.logAction("restore age_ms=" + age.toMillis());
+          fleet.store().restore(copy);
+          ManagedProcess.pause(rewriteDelay);
+          fleet.writeContentAgain();
+          disturbance.end();
+          history.logAction("restored content written again");
+        });
+  }
+
   /** Writes a configuration that allows a random set of keys and revokes the others. */
   void changeKeys(Random random) {
     TreeSet<String> allowed = new TreeSet<>(List.of(KEYS.get(0)));
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFleet.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFleet.java
@@ -90,6 +90,12 @@
     content.writeConfig(keys);
   }
 
+  /** Writes again what the operator and the servers had written. */
+  synchronized void writeContentAgain() {
+    content.writeConfigAgain();
+    servers.forEach(SoakServer::announceAgain);
+  }
+
   List<SoakDaemon> daemons() {
     return List.copyOf(daemons);
   }
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakServer.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakServer.java
@@ -23,6 +23,7 @@
   private final Set<String> kvBackupIds;
   private final List<ServerStandin> instances = new CopyOnWriteArrayList<>();
   private final LinkStandin link;
+  private volatile String announcedState = "";
 
   /**
    * Creates the server and starts its first instance.
@@ -77,10 +78,21 @@
   }
 
   void announce(String state) {
+    announcedState = state;
     String address = HttpServer.LOOPBACK_IP + ":" + link.port();
     content.registerServer(currentInstance().instanceId(), address, service, dataCentre, state);
   }
 
+  /** Writes the latest entry again, and removes those of earlier instances. */
+  void announceAgain() {
+    String currentId = currentInstance().instanceId();
+    instances.stream()
+        .map(ServerStandin::instanceId)
+        .filter(id -> !id.equals(currentId))
+        .forEach(content::deregisterServer);
+    announce(announcedState);
+  }
+
   /** Crashes the current instance. Its directory entry remains until {@link #replace}. */
   void crash() {
     currentInstance().crash();
--- a/standins/src/main/java/org/galenapost/standins/gateway/StoreContentWriter.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/StoreContentWriter.java
@@ -47,6 +47,7 @@
               "header_timeout_ms", 500L,
               "idle_timeout_ms", 1_500L));
   private long routeTimeoutMs = ROUTE_TIMEOUT_MS;
+  private Map<String, Object> config = Map.of();
   private long configVersion;
   private long writeCount;
 
@@ -97,9 +98,7 @@
   /** Writes a configuration that accepts the given API keys of the workspace. */
   public void writeConfig(String... keys) {
     configVersion += 3;
-    store.write(
-        "config",
-        "main",
+    config =
         Map.of(
             "version", configVersion,
             "routes",
@@ -119,7 +118,13 @@
                     Map.of("name", UNARY_SERVICE, "max_conns", 100)),
             "limits", Map.copyOf(limits),
             "tenants",
-                List.of(Map.of("name", WORKSPACE, "api_keys", List.of(keys), "priority", 1))));
+                List.of(Map.of("name", WORKSPACE, "api_keys", List.of(keys), "priority", 1)));
+    writeConfigAgain();
+  }
+
+  /** Writes the latest configuration again, as operators do after the store was restored. */
+  public void writeConfigAgain() {
+    store.write("config", "main", config);
   }
 
   private Map<String, Object> route(
