Excuse refusals of a restarting daemon until it is ready, not for 9 s

The check excused refusals for 9 s from the signal on, so the last ones fell out of it. The case is allowed: a daemon that knows no configuration yet answers 503, and callers are not sent to one that is not ready; the soak's callers go to each daemon themselves.

The check is replaced: refusals are excused from SIGTERM until the daemon is ready again. That is stricter for a daemon that is ready earlier, and a start that takes too long is still a failure by itself. Two tests hold both sides.

--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFaults.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFaults.java
@@ -219,7 +219,7 @@
     }
     long signalNanos = System.nanoTime();
     Disturbances.Disturbance disturbance = history.disturbances().beginPlannedRestart(index);
-    history.onTermination(index);
+    SoakHistory.Restart restart = history.onTermination(index);
     executor.execute(
         () -> {
           boolean hasEnded = daemon.terminate();
@@ -230,6 +230,7 @@
           }
           daemon.start();
           awaitReady(daemon);
+          restart.end();
           disturbance.end();
         });
   }
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakHistory.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakHistory.java
@@ -15,7 +15,7 @@
   private final Map<String, CallRecord> calls = new ConcurrentHashMap<>();
   private final List<AllowedKeys> keys = new CopyOnWriteArrayList<>();
   private final Map<String, Long> drainStartNanosByServer = new ConcurrentHashMap<>();
-  private final List<Termination> terminations = new CopyOnWriteArrayList<>();
+  private final List<Restart> restarts = new CopyOnWriteArrayList<>();
   private final List<String> failures = new CopyOnWriteArrayList<>();
   private final Disturbances disturbances = new Disturbances();
   private final PrintWriter log;
@@ -28,13 +28,30 @@
    */
   record AllowedKeys(long ackNanos, Set<String> allowed) {}
 
-  /**
-   * A planned termination of a daemon's process.
-   *
-   * @param daemon the index of the daemon
-   * @param signalNanos the monotonic time, in nanoseconds, just before SIGTERM was sent
-   */
-  record Termination(int daemon, long signalNanos) {}
+  /** A planned restart of a daemon, from SIGTERM until it is ready again. */
+  static final class Restart {
+
+    private final int daemon;
+    private final long signalNanos;
+    private volatile long readyNanos = Long.MAX_VALUE;
+
+    private Restart(int daemon, long signalNanos) {
+      this.daemon = daemon;
+      this.signalNanos = signalNanos;
+    }
+
+    /** Records that the daemon is ready again. */
+    void end() {
+      readyNanos = System.nanoTime();
+    }
+
+    /** Returns whether a call overlaps this restart of its daemon. */
+    boolean overlaps(CallRecord call) {
+      return daemon == call.daemon()
+          && signalNanos <= call.endNanos()
+          && call.sentNanos() <= readyNanos;
+    }
+  }
 
   /**
    * Creates a history.
@@ -64,9 +81,11 @@
     logAction("leaving server=" + serverId);
   }
 
-  void onTermination(int daemon) {
-    terminations.add(new Termination(daemon, System.nanoTime()));
+  Restart onTermination(int daemon) {
+    Restart restart = new Restart(daemon, System.nanoTime());
+    restarts.add(restart);
     logAction("sigterm daemon=d" + daemon);
+    return restart;
   }
 
   void onFailure(String failure) {
@@ -95,8 +114,9 @@
     return Map.copyOf(drainStartNanosByServer);
   }
 
-  List<Termination> terminations() {
-    return List.copyOf(terminations);
+  /** Returns whether a call overlaps a planned restart of its daemon. */
+  boolean isDaemonRestarting(CallRecord call) {
+    return restarts.stream().anyMatch(restart -> restart.overlaps(call));
   }
 
   List<String> failures() {
--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/SoakChecksTest.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/SoakChecksTest.java
@@ -45,6 +45,24 @@
     assertThat(violations()).isEmpty();
   }
 
+  @Test
+  void acceptsRefusalByDaemonThatIsNotReadyAgainAfterAPlannedRestart() {
+    allowKeys(KEY);
+    history.onTermination(0);
+    recordCall("c1", Kind.ONCE, KEY, Outcome.ANSWERED, answer("c1", 503, "not ready"));
+
+    assertThat(violations()).isEmpty();
+  }
+
+  @Test
+  void reportsRefusalByDaemonThatIsReadyAgainAfterAPlannedRestart() {
+    allowKeys(KEY);
+    history.onTermination(0).end();
+    recordCall("c1", Kind.ONCE, KEY, Outcome.ANSWERED, answer("c1", 503, "not ready"));
+
+    assertThat(violations()).singleElement().asString().contains("was not served");
+  }
+
   @Test
   void reportsRunOfUnknownCall() {
     recordRun("c1", Kind.ONCE, now, Map.of());
