--- a/core/src/main/java/org/galenapost/core/configuration/PeerVersionCheck.java
+++ b/core/src/main/java/org/galenapost/core/configuration/PeerVersionCheck.java
@@ -124,7 +124,8 @@
   }
 
   private boolean isConfirmed() {
-    if (reports.values().stream().anyMatch(report -> newestNewer(report) > ContentVersions.NONE)) {
+    if (reports.values().stream()
+        .anyMatch(report -> highestMissing(report) > ContentVersions.NONE)) {
       return false;
     }
     long readyPeers =
@@ -140,15 +141,15 @@
       return;
     }
     reports.put(sender, report);
-    long newer = newestNewer(report);
-    if (newer > pulledVersion) {
-      pulledVersion = newer;
+    long missing = highestMissing(report);
+    if (missing > pulledVersion) {
+      pulledVersion = missing;
       bus.send(sender, new ConfigurationMessage.Pull(state.revisions()));
     }
   }
 
   /** Returns the highest reported version that this daemon lacks, {@code NONE} if it lacks none. */
-  private long newestNewer(ConfigurationMessage.RevisionsReport report) {
+  private long highestMissing(ConfigurationMessage.RevisionsReport report) {
     return report.revisions().stream()
         .filter(reported -> state.kinds().contains(reported.kind()))
         .filter(reported -> reported.contentVersion() > state.contentVersion(reported.kind()))
