--- a/core/src/main/java/org/galenapost/core/configuration/PeerVersionCheck.java
+++ b/core/src/main/java/org/galenapost/core/configuration/PeerVersionCheck.java
@@ -33,6 +33,9 @@
   /** The number of ready peers whose answers suffice, although others have not answered. */
   private static final int SUFFICIENT_READY_PEERS = 3;
 
+  /** After so many rounds, ready peers would have answered, so that a majority suffices. */
+  private static final int ROUNDS_TO_MAJORITY = 5;
+
   private final ConfigurationHolder state;
   private final PeerBus bus;
   private final Scheduler scheduler;
@@ -132,7 +135,10 @@
         reports.values().stream().filter(ConfigurationMessage.RevisionsReport::isReady).count();
     boolean haveAllAnswered = reports.keySet().containsAll(askedPeers);
     boolean areAllKnownAsked = askedPeers.size() >= startCheck.knownPeerCount().getAsInt();
+    boolean hasFleetRestarted =
+        readyPeers == 0 && rounds >= ROUNDS_TO_MAJORITY && 2 * reports.size() > askedPeers.size();
     return readyPeers >= SUFFICIENT_READY_PEERS
+        || hasFleetRestarted
         || (haveAllAnswered && (readyPeers > 0 || areAllKnownAsked));
   }
 
--- a/core/src/test/java/org/galenapost/core/configuration/PeerVersionCheckTest.java
+++ b/core/src/test/java/org/galenapost/core/configuration/PeerVersionCheckTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.galenapost.core.peer.PeerBus;
 import org.galenapost.core.platform.ObjectKey;
 import org.galenapost.core.platform.PlatformReachability;
@@ -93,6 +94,23 @@
     assertThat(starting.follower.isReady()).isTrue();
   }
 
+  @Test
+  void fleetThatRestartsDoesNotWaitForItsSlowestDaemons() {
+    List<Daemon> fleet =
+        IntStream.rangeClosed(1, 6)
+            .mapToObj(i -> new Daemon("d" + i, restoredPlatform, 5))
+            .toList();
+    for (int i = 1; i <= 6; i++) {
+      network.cut("d5", "d" + i);
+      network.cut("d6", "d" + i);
+    }
+
+    fleet.forEach(daemon -> daemon.follower.start());
+    time.advance(Duration.ofMillis(300));
+
+    assertThat(fleet.subList(0, 4)).allMatch(daemon -> daemon.follower.isReady());
+  }
+
   @Test
   void isReadyAlthoughSomePeersAreSilentOnceThreeReadyOnesAnswered() {
     for (int i = 1; i <= 5; i++) {
