--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -293,14 +293,7 @@
         pool,
         new ConnectProbes(loop),
         directory,
-        new InstanceChooser(
-            settings.daemon().dataCentre(),
-            directory,
-            cells::contains,
-            useTracker,
-            health,
-            pauses,
-            random::nextDouble),
+        instanceChooser(directory, cells, useTracker, health, pauses),
         useTracker,
         health,
         pauses,
@@ -318,6 +311,22 @@
         liveDaemonCount);
   }
 
+  private InstanceChooser instanceChooser(
+      InstanceDirectory directory,
+      FleetCells cells,
+      ServerUseTracker useTracker,
+      InstanceHealth health,
+      RequestedPauses pauses) {
+    return new InstanceChooser(
+        settings.daemon().dataCentre(),
+        directory,
+        cells::contains,
+        useTracker,
+        health,
+        pauses,
+        random::nextDouble);
+  }
+
   private SendPermits sendPermits(ServerLimits limits, RequestedPauses pauses) {
     SendPermits permits =
         new SendPermits(settings.daemon().id(), bus, scheduler, clock, limits, pauses);
