Log the software version of servers and the stream that a call resumes

Cause: the logs of ORDER can't tell streams that clients resume at another version from those that a daemon moves. The stand-ins' servers have a version and name it. No choice of a server changes.

--- a/core/src/main/java/org/galenapost/core/instance/ServerInstance.java
+++ b/core/src/main/java/org/galenapost/core/instance/ServerInstance.java
@@ -15,6 +15,8 @@
  * @param dataCentre the data centre in which it runs
  * @param slots the number of calls that it runs concurrently
  * @param isLeaving whether it accepts no new calls
+ * @param softwareVersion the version of the software that it runs, with no order between versions;
+ *     empty if a daemon of an earlier release passed the announcement on
  */
 public record ServerInstance(
     String id,
@@ -25,14 +27,16 @@
     int port,
     String dataCentre,
     int slots,
-    boolean isLeaving) {
+    boolean isLeaving,
+    String softwareVersion) {
 
-  /** Checks that every part is present. */
+  /** Checks that every part is present, except the version, which may be unknown. */
   public ServerInstance {
     Objects.requireNonNull(id, "id");
     Objects.requireNonNull(service, "service");
     Objects.requireNonNull(ip, "ip");
     Objects.requireNonNull(dataCentre, "dataCentre");
+    softwareVersion = Objects.requireNonNullElse(softwareVersion, "");
   }
 
   /** Returns the key of this instance. */
--- a/core/src/test/java/org/galenapost/core/cell/FleetCellsProperties.java
+++ b/core/src/test/java/org/galenapost/core/cell/FleetCellsProperties.java
@@ -128,7 +128,8 @@
     for (int i = 0; i < count; i++) {
       String ip = "10." + i % DATA_CENTRES + ".0." + i;
       ServerInstance server =
-          new ServerInstance("i" + i, 1, 0, "pool", ip, 80, "dc" + i % DATA_CENTRES, 6, false);
+          new ServerInstance(
+              "i" + i, 1, 0, "pool", ip, 80, "dc" + i % DATA_CENTRES, 6, false, "v1");
       servers.add(server);
       accept(server);
     }
@@ -144,7 +145,8 @@
         original.port(),
         original.dataCentre(),
         original.slots(),
-        false);
+        false,
+        "v1");
   }
 
   private void accept(ServerInstance server) {
--- a/core/src/test/java/org/galenapost/core/dispatch/InstanceChooserTest.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/InstanceChooserTest.java
@@ -217,7 +217,7 @@
 
   private ServerInstance add(String id, String service, String dataCentre) {
     ServerInstance instance =
-        new ServerInstance(id, 1, 0, service, "10.0.0.1", 80, dataCentre, 6, false);
+        new ServerInstance(id, 1, 0, service, "10.0.0.1", 80, dataCentre, 6, false, "v1");
     directory.applyChange(
         new ConfigurationRecord(
             ConfigurationKind.INSTANCE, id, ++revision, Optional.of(Json.write(instance))));
--- a/core/src/test/java/org/galenapost/core/dispatch/ServerUseTrackerProperties.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/ServerUseTrackerProperties.java
@@ -15,7 +15,7 @@
 class ServerUseTrackerProperties {
 
   private static final ServerInstance SERVER =
-      new ServerInstance("i1", 1, 0, "s", "10.0.0.1", 80, "dc1", 6, false);
+      new ServerInstance("i1", 1, 0, "s", "10.0.0.1", 80, "dc1", 6, false, "v1");
   private static final InstanceKey KEY = SERVER.key();
 
   @Property
--- a/core/src/test/java/org/galenapost/core/instance/InstanceDirectoryTest.java
+++ b/core/src/test/java/org/galenapost/core/instance/InstanceDirectoryTest.java
@@ -107,7 +107,7 @@
   }
 
   private static ServerInstance server(String id, long startedAt, boolean isLeaving) {
-    return new ServerInstance(id, startedAt, 0, "s", "10.0.0.1", 80, "dc1", 6, isLeaving);
+    return new ServerInstance(id, startedAt, 0, "s", "10.0.0.1", 80, "dc1", 6, isLeaving, "v1");
   }
 
   private void announce(ServerInstance instance) {
--- a/core/src/test/java/org/galenapost/core/instance/RestoredStoreTest.java
+++ b/core/src/test/java/org/galenapost/core/instance/RestoredStoreTest.java
@@ -135,7 +135,7 @@
 
   private void announce(String id, long startedAt, long sequence, boolean isLeaving) {
     ServerInstance instance =
-        new ServerInstance(id, startedAt, sequence, "s", "10.0.0.1", 80, "dc1", 6, isLeaving);
+        new ServerInstance(id, startedAt, sequence, "s", "10.0.0.1", 80, "dc1", 6, isLeaving, "v1");
     accept(id, Optional.of(Json.write(instance)));
   }
 
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/call/CallHead.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/call/CallHead.java
@@ -19,6 +19,8 @@
  * @param waitMs how long the caller waits, in milliseconds, if the request states it
  * @param key the caller's key, if it sent one
  * @param resumeAfter the number of the last event that the caller received, if it resumes a stream
+ * @param resumedStreamId the id of the caller's attempt that brought the first event of the stream,
+ *     if the caller resumes one and names it
  * @param demand the engine resources that the call needs
  * @param sharedPartIds the ids of the parts of the prompt that other requests may share; the last
  *     part is not among them, since it belongs to the request itself
@@ -32,6 +34,7 @@
     OptionalLong waitMs,
     Optional<String> key,
     OptionalLong resumeAfter,
+    Optional<String> resumedStreamId,
     CallDemand demand,
     List<String> sharedPartIds) {
 
@@ -45,6 +48,7 @@
     Objects.requireNonNull(waitMs, "waitMs");
     Objects.requireNonNull(key, "key");
     Objects.requireNonNull(resumeAfter, "resumeAfter");
+    Objects.requireNonNull(resumedStreamId, "resumedStreamId");
     Objects.requireNonNull(demand, "demand");
     sharedPartIds = List.copyOf(sharedPartIds);
   }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallLog.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallLog.java
@@ -25,6 +25,9 @@
     event("call_sent")
         .with("send", sendNumber)
         .with("server", plan.instance().key().text())
+        .with("server_version", plan.instance().softwareVersion())
+        .with("resumes", call.head().resumedStreamId().orElse("-"))
+        .with("after_event", call.head().resumeAfter().orElse(0))
         .with("expected_wait_ms", Math.round(plan.expectedWaitMs()))
         .with("copy_to", plan.copyTarget().map(ServerInstance::id).orElse("-"))
         .with("from_copy", plan.copySource().isPresent())
@@ -91,6 +94,7 @@
     context.meters().recordResume(isFromCopy, elapsed);
     event("stream_resumed")
         .with("server", attempt.instance().key().text())
+        .with("server_version", attempt.instance().softwareVersion())
         .with("from_copy", isFromCopy)
         .with("after_event", relay.eventCount() - attempt.eventCount())
         .with("age_ms", elapsed.toMillis())
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/ConnectProbesTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/ConnectProbesTest.java
@@ -48,7 +48,7 @@
 
   private boolean isReachable(int port) {
     ServerInstance instance =
-        new ServerInstance("i-1", 1, 0, "pool", "127.0.0.1", port, "z1", 6, false);
+        new ServerInstance("i-1", 1, 0, "pool", "127.0.0.1", port, "z1", 6, false, "v1");
     CompletableFuture<Boolean> result = new CompletableFuture<>();
     loop.execute(() -> probes.probe(instance, result::complete));
     return result.orTimeout(5, TimeUnit.SECONDS).join();
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakServer.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakServer.java
@@ -80,7 +80,9 @@
   void announce(String state) {
     announcedState = state;
     String address = HttpServer.LOOPBACK_IP + ":" + link.port();
-    content.registerServer(currentInstance().instanceId(), address, service, dataCentre, state);
+    ServerStandin instance = currentInstance();
+    content.registerServer(
+        instance.instanceId(), address, service, dataCentre, state, instance.softwareVersion());
   }
 
   /** Writes the latest entry again, and removes those of earlier instances. */
--- a/standins/src/main/java/org/galenapost/standins/gateway/RawHttpClient.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/RawHttpClient.java
@@ -11,6 +11,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 /**
  * An HTTP client on one connection that sends arbitrary bytes, valid or not. Not safe for threads.
@@ -74,6 +75,17 @@
    *     complete
    */
   public Response readResponse() throws IOException {
+    return readResponse(body -> false);
+  }
+
+  /**
+   * Reads one response, or the first chunks of its body.
+   *
+   * @param isEnough receives the body so far and returns whether to read no more of it
+   * @throws IOException if the connection closes or a read times out before the headers are
+   *     complete
+   */
+  public Response readResponse(Predicate<String> isEnough) throws IOException {
     String statusLine = readLine();
     Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
     for (String line = readLine(); !line.isEmpty(); line = readLine()) {
@@ -82,7 +94,7 @@
     }
     int status = Integer.parseInt(statusLine.split(" ")[1]);
     return "chunked".equals(headers.get("Transfer-Encoding"))
-        ? readChunkedBody(status, headers)
+        ? readChunkedBody(status, headers, isEnough)
         : readFixedLengthBody(status, headers);
   }
 
@@ -93,12 +105,16 @@
         status, headers, new String(body, StandardCharsets.UTF_8), body.length == length);
   }
 
-  private Response readChunkedBody(int status, Map<String, String> headers) throws IOException {
+  private Response readChunkedBody(
+      int status, Map<String, String> headers, Predicate<String> isEnough) throws IOException {
     StringBuilder body = new StringBuilder();
     try {
       for (int size = readChunkSize(); size > 0; size = readChunkSize()) {
         body.append(new String(input.readNBytes(size), StandardCharsets.UTF_8));
         readLine();
+        if (isEnough.test(body.toString())) {
+          return new Response(status, headers, body.toString(), false);
+        }
       }
       readLine();
       return new Response(status, headers, body.toString(), true);
--- a/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
@@ -44,6 +44,7 @@
   private volatile Optional<String> retryAfterSeconds = Optional.empty();
   private volatile Optional<String> serverLimit = Optional.empty();
   private volatile boolean isLeaving;
+  private volatile String softwareVersion = "v1";
 
   /** How the server handles calls. */
   public enum Behaviour {
@@ -145,6 +146,16 @@
     return HttpServer.LOOPBACK_IP + ":" + port();
   }
 
+  /** Sets the version of the server's software, which its entry names. */
+  public void setSoftwareVersion(String version) {
+    softwareVersion = version;
+  }
+
+  /** Returns the version of the server's software. */
+  public String softwareVersion() {
+    return softwareVersion;
+  }
+
   /** Sets how calls are handled. */
   public void setBehaviour(Behaviour newBehaviour) {
     behaviour = newBehaviour;
--- a/standins/src/main/java/org/galenapost/standins/gateway/StoreContentWriter.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/StoreContentWriter.java
@@ -74,9 +74,15 @@
    * @param service the name of the service
    * @param dataCentre the data centre of the server
    * @param state the lifecycle state, such as {@code draining}
+   * @param softwareVersion the version of the server's software
    */
   public void registerServer(
-      String id, String address, String service, String dataCentre, String state) {
+      String id,
+      String address,
+      String service,
+      String dataCentre,
+      String state,
+      String softwareVersion) {
     store.write(
         "servers",
         id,
@@ -84,6 +90,7 @@
             "service", service,
             "address", address,
             "zone", dataCentre,
+            "version", softwareVersion,
             "slots", SLOTS,
             "state", state,
             "born", STARTED_AT_MS,
