--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -55,6 +55,7 @@
 import org.galenapost.daemon.gateway.run.GatewayMeters;
 import org.galenapost.daemon.gateway.run.InstancePaces;
 import org.galenapost.daemon.gateway.upstream.ConnectProbes;
+import org.galenapost.daemon.gateway.upstream.ServerAddresses;
 import org.galenapost.daemon.gateway.upstream.ServerConnectionPool;
 import org.galenapost.daemon.generation.EventLoopStallGuard;
 import org.galenapost.daemon.http.HttpListener;
@@ -107,6 +108,7 @@
   private final PendingWork calls = new PendingWork();
   private final List<Service> services = new ArrayList<>();
   private final Optional<ServerSocketChannel> callerSocket;
+  private final ServerAddresses serverAddresses;
   private final CallFormat format;
   private final PlatformHttpClient client;
   private final ObjectStore store;
@@ -115,7 +117,9 @@
   private GatewayBuilder(
       GatewaySettings settings,
       GatewayAdapter adapter,
-      Optional<ServerSocketChannel> callerSocket) {
+      Optional<ServerSocketChannel> callerSocket,
+      ServerAddresses serverAddresses) {
+    this.serverAddresses = serverAddresses;
     this.settings = settings;
     this.callerSocket = callerSocket;
     this.format = adapter.callFormat();
@@ -128,7 +132,19 @@
 
   /** Builds a gateway that binds every address when it starts. */
   public static GatewayDaemon build(GatewaySettings settings, GatewayAdapter adapter) {
-    return new GatewayBuilder(settings, adapter, Optional.empty()).build();
+    return build(settings, adapter, ServerAddresses.announced());
+  }
+
+  /**
+   * Builds a gateway that reaches the servers at other addresses than those that they announce.
+   *
+   * @param settings the settings
+   * @param adapter connects the gateway to its platform
+   * @param serverAddresses the address of each server
+   */
+  public static GatewayDaemon build(
+      GatewaySettings settings, GatewayAdapter adapter, ServerAddresses serverAddresses) {
+    return new GatewayBuilder(settings, adapter, Optional.empty(), serverAddresses).build();
   }
 
   /**
@@ -140,7 +156,9 @@
    */
   public static GatewayDaemon build(
       GatewaySettings settings, GatewayAdapter adapter, ServerSocketChannel callerSocket) {
-    return new GatewayBuilder(settings, adapter, Optional.of(callerSocket)).build();
+    return new GatewayBuilder(
+            settings, adapter, Optional.of(callerSocket), ServerAddresses.announced())
+        .build();
   }
 
   private GatewayDaemon build() {
@@ -268,7 +286,8 @@
     ServerUseTracker useTracker = new ServerUseTracker();
     InstanceHealth health = new InstanceHealth(clock);
     ServerConnectionPool pool =
-        new ServerConnectionPool(loop, format, clock, settings.timings().connectTimeout());
+        new ServerConnectionPool(
+            loop, format, clock, settings.timings().connectTimeout(), serverAddresses);
     PromptPartQuarantine partQuarantine = promptPartQuarantine();
     SendBudget budget = sendBudget();
     IntSupplier liveDaemonCount = () -> bus.livePeerIds().size() + 1;
@@ -294,7 +313,7 @@
         scheduler,
         format,
         pool,
-        new ConnectProbes(loop),
+        new ConnectProbes(loop, serverAddresses),
         directory,
         instanceChooser(directory, cells, useTracker, health, pauses),
         useTracker,
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ConnectProbes.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ConnectProbes.java
@@ -16,7 +16,6 @@
 import java.util.function.Consumer;
 import org.galenapost.core.instance.InstanceKey;
 import org.galenapost.core.instance.ServerInstance;
-import org.galenapost.daemon.net.IpAddresses;
 
 /**
  * Checks with a new connection whether a server's host still accepts connections. A second
@@ -30,12 +29,14 @@
   private static final Duration TIMEOUT = Duration.ofMillis(150);
 
   private final EventLoop loop;
+  private final ServerAddresses addresses;
   private final Bootstrap bootstrap;
   private final Map<InstanceKey, Probe> probes = new HashMap<>();
 
-  /** Creates probes on an event loop. */
-  public ConnectProbes(EventLoop loop) {
+  /** Creates probes on an event loop that connect to the given address of each server. */
+  public ConnectProbes(EventLoop loop, ServerAddresses addresses) {
     this.loop = loop;
+    this.addresses = addresses;
     this.bootstrap =
         new Bootstrap()
             .group(loop)
@@ -83,7 +84,7 @@
         return;
       }
       bootstrap
-          .connect(IpAddresses.socketAddress(instance.ip(), instance.port()))
+          .connect(addresses.of(instance))
           .addListener(
               (ChannelFuture done) -> {
                 done.channel().close();
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
@@ -23,7 +23,6 @@
 import org.galenapost.core.instance.ServerInstance;
 import org.galenapost.core.time.MonotonicClock;
 import org.galenapost.daemon.gateway.call.CallFormat;
-import org.galenapost.daemon.net.IpAddresses;
 import org.galenapost.daemon.net.KeepAliveProbes;
 import org.galenapost.daemon.service.Service;
 
@@ -48,6 +47,7 @@
   private final EventLoop loop;
   private final CallFormat format;
   private final MonotonicClock clock;
+  private final ServerAddresses addresses;
   private final Bootstrap bootstrap;
   private final Map<InstanceKey, Deque<ServerConnection>> idleConnections = new HashMap<>();
   private long openedConnectionCount;
@@ -59,12 +59,18 @@
    * @param format reads the heads of responses
    * @param clock measures idle times
    * @param connectTimeout the longest time to open a connection
+   * @param addresses the address of each server
    */
   public ServerConnectionPool(
-      EventLoop loop, CallFormat format, MonotonicClock clock, Duration connectTimeout) {
+      EventLoop loop,
+      CallFormat format,
+      MonotonicClock clock,
+      Duration connectTimeout,
+      ServerAddresses addresses) {
     this.loop = loop;
     this.format = format;
     this.clock = clock;
+    this.addresses = addresses;
     this.bootstrap =
         new Bootstrap()
             .group(loop)
@@ -140,10 +146,7 @@
     ServerConnection connection = new ServerConnection(instance.key(), format, this::returnToPool);
     ConnectingCall connectingCall = new ConnectingCall(connection);
     ChannelFuture connecting =
-        bootstrap
-            .clone()
-            .handler(initializer(connection))
-            .connect(IpAddresses.socketAddress(instance.ip(), instance.port()));
+        bootstrap.clone().handler(initializer(connection)).connect(addresses.of(instance));
     connectingCall.channel = connecting.channel();
     openedConnectionCount++;
     // Sends in a task of its own, so that a caller's close that is read in the same pass of the
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/ConnectProbesTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/ConnectProbesTest.java
@@ -19,7 +19,7 @@
 
   private final EventLoops loops = new EventLoops(1);
   private final EventLoop loop = loops.group().next();
-  private final ConnectProbes probes = new ConnectProbes(loop);
+  private final ConnectProbes probes = new ConnectProbes(loop, ServerAddresses.announced());
 
   @AfterEach
   void stop() {
