Withdraw the failures that a daemon without links reported of servers

Cause: a daemon that loses its links to all servers reports each of them as lost or refusing, and the others avoid them for up to 4 s; streams that are bound to a version get no server for that time. Change: once a daemon tells that it reaches no server of a service, the others withdraw what it alone reported of these servers and ignore further reports. Ruled out: probing each reported server before it is believed, which costs a connection per daemon and crash. Measured: the new test of InstanceChooserTest fails with the withdrawal taken out and passes with it.

--- a/core/src/main/java/org/galenapost/core/dispatch/InstanceHealth.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/InstanceHealth.java
@@ -80,6 +80,16 @@
     return isNewlyAvoided;
   }
 
+  /** Withdraws the failures that led to a server being avoided, as they were not its own. */
+  void withdrawFailure(InstanceKey instance) {
+    FailureState state = states.get(instance);
+    if (state != null) {
+      state.losses = 0;
+      state.isAvoided = false;
+      state.hasRefused = false;
+    }
+  }
+
   /** Records that a server was reached but failed a call. */
   public void recordFailure(InstanceKey instance) {
     FailureState state = stateOf(instance);
--- a/core/src/main/java/org/galenapost/core/dispatch/InstanceStatusBroadcaster.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/InstanceStatusBroadcaster.java
@@ -1,5 +1,10 @@
 package org.galenapost.core.dispatch;
 
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
 import org.galenapost.core.dispatch.InstanceNotice.Kind;
 import org.galenapost.core.instance.InstanceDirectory;
 import org.galenapost.core.instance.InstanceKey;
@@ -17,6 +22,8 @@
   private final InstanceDirectory directory;
   private final PeerBus bus;
   private final PeerBus fleetBus;
+  private final Map<InstanceKey, String> reporters = new HashMap<>();
+  private final Map<String, Set<String>> unreachedServices = new HashMap<>();
 
   /**
    * Creates a broadcaster.
@@ -36,11 +43,46 @@
 
   /** Starts to receive notices of other daemons. */
   public void start() {
-    bus.onMessage(InstanceNotice.class, (sender, notice) -> applyNotice(notice));
+    bus.onMessage(InstanceNotice.class, this::applyNotice);
+  }
+
+  /**
+   * Records the services of which another daemon reaches no server. Failures that it reported of
+   * their servers are those of its own links, so they are withdrawn, and later ones are ignored.
+   */
+  public void setUnreached(String daemonId, Set<String> services) {
+    unreachedServices.put(daemonId, Set.copyOf(services));
+    List<InstanceKey> withdrawn =
+        reporters.entrySet().stream()
+            .filter(report -> report.getValue().equals(daemonId))
+            .map(Map.Entry::getKey)
+            .filter(key -> isUnreachedBy(daemonId, key))
+            .toList();
+    withdrawn.forEach(
+        key -> {
+          reporters.remove(key);
+          health.withdrawFailure(key);
+        });
+  }
+
+  private boolean isUnreachedBy(String daemonId, InstanceKey server) {
+    Set<String> services = unreachedServices.getOrDefault(daemonId, Set.of());
+    return directory
+        .find(server.id())
+        .map(ServerInstance::service)
+        .filter(services::contains)
+        .isPresent();
+  }
+
+  /** Removes the reports of failures of all servers except the given ones. */
+  public void retainOnly(Set<InstanceKey> servers) {
+    reporters.keySet().retainAll(servers);
+    unreachedServices.keySet().retainAll(bus.livePeerIds());
   }
 
   /** Records a lost server and broadcasts a notice if the server was not avoided before. */
   public void onLost(ServerInstance instance) {
+    reporters.remove(instance.key());
     if (health.recordLoss(instance.key())) {
       bus.broadcast(notice(instance.key(), Kind.LOST));
     }
@@ -48,6 +90,7 @@
 
   /** Records a refused connection and broadcasts a notice if the server was not avoided before. */
   public void onRefused(ServerInstance instance) {
+    reporters.remove(instance.key());
     if (health.recordRefusal(instance.key())) {
       bus.broadcast(notice(instance.key(), Kind.REFUSED));
     }
@@ -71,14 +114,24 @@
     return new InstanceNotice(instance.id(), instance.startedAtEpochMs(), kind);
   }
 
-  private void applyNotice(InstanceNotice notice) {
+  private void applyNotice(String sender, InstanceNotice notice) {
     InstanceKey key = new InstanceKey(notice.id(), notice.startedAtEpochMs());
     switch (notice.kind()) {
-      case LOST -> health.recordLoss(key);
-      case REFUSED -> health.recordRefusal(key);
+      case LOST -> applyFailure(sender, key, health::recordLoss);
+      case REFUSED -> applyFailure(sender, key, health::recordRefusal);
       case REPLACED -> directory.markReplaced(key);
       case LEAVING -> directory.markLeaving(key);
       default -> throw new IllegalStateException("unknown kind " + notice.kind());
     }
   }
+
+  private void applyFailure(String sender, InstanceKey server, Consumer<InstanceKey> failure) {
+    if (isUnreachedBy(sender, server)) {
+      return;
+    }
+    if (!health.isAvoided(server)) {
+      reporters.put(server, sender);
+    }
+    failure.accept(server);
+  }
 }
--- a/core/src/main/java/org/galenapost/core/handover/HandoverPeers.java
+++ b/core/src/main/java/org/galenapost/core/handover/HandoverPeers.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.galenapost.core.dispatch.InstanceHealth;
 import org.galenapost.core.dispatch.ServerUseTracker;
@@ -45,7 +45,7 @@
   private final ServerUseTracker useTracker;
   private final InstanceHealth health;
   private final Supplier<HandoverStatus> ownStatus;
-  private final Consumer<Set<String>> onUnreachedElsewhere;
+  private final BiConsumer<String, Set<String>> onUnreachedElsewhere;
   private final Map<String, Peer> peers = new HashMap<>();
   private Set<String> toldDaemons = Set.of();
   private long toldNanos;
@@ -62,7 +62,8 @@
    * @param useTracker the handed-over calls in progress at each daemon
    * @param health the recent failures of each daemon
    * @param ownStatus returns the status of this daemon
-   * @param onUnreachedElsewhere receives the services of which another daemon reaches no server
+   * @param onUnreachedElsewhere receives the id of another daemon and the services of which it
+   *     reaches no server, whenever these change
    */
   public HandoverPeers(
       String dataCentre,
@@ -73,7 +74,7 @@
       ServerUseTracker useTracker,
       InstanceHealth health,
       Supplier<HandoverStatus> ownStatus,
-      Consumer<Set<String>> onUnreachedElsewhere) {
+      BiConsumer<String, Set<String>> onUnreachedElsewhere) {
     this.dataCentre = dataCentre;
     this.bus = bus;
     this.scheduler = scheduler;
@@ -117,10 +118,9 @@
 
   private void onStatus(String daemonId, HandoverStatus status) {
     Peer previous = peers.put(daemonId, new Peer(instanceOf(daemonId, status), status, clock));
-    boolean isNew =
-        previous == null || !previous.status.unreachedServices().equals(status.unreachedServices());
-    if (isNew && !status.unreachedServices().isEmpty()) {
-      onUnreachedElsewhere.accept(status.unreachedServices());
+    Set<String> known = previous == null ? Set.of() : previous.status.unreachedServices();
+    if (!known.equals(status.unreachedServices())) {
+      onUnreachedElsewhere.accept(daemonId, status.unreachedServices());
     }
   }
 
--- a/core/src/test/java/org/galenapost/core/dispatch/InstanceChooserTest.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/InstanceChooserTest.java
@@ -196,6 +196,31 @@
     assertThat(directory.ready("pool")).containsExactly(refused);
   }
 
+  @Test
+  void doesNotAvoidServersForTheFailuresOfDaemonThatReachesNone() {
+    FakeNetwork network = new FakeNetwork(time, Duration.ofMillis(1));
+    InstanceStatusBroadcaster cut =
+        broadcaster(new InstanceHealth(time), directory, network.join("d1"));
+    InstanceStatusBroadcaster other = broadcaster(health, directory, network.join("d2"));
+    other.start();
+    ServerInstance server = add("e1", "pool", "dc1");
+    ServerInstance lost = add("e2", "pool", "dc1");
+    other.onLost(lost);
+    cut.onRefused(server);
+    time.advance(Duration.ofMillis(2));
+    assertThat(health.isAvoided(server.key())).isTrue();
+
+    other.setUnreached("d1", Set.of("pool"));
+    assertThat(health.isAvoided(server.key())).isFalse();
+    assertThat(health.mayHaveRestarted(server.key())).isFalse();
+    assertThat(health.isAvoided(lost.key())).as("lost by this daemon itself").isTrue();
+
+    time.advance(Duration.ofSeconds(5));
+    cut.onRefused(server);
+    time.advance(Duration.ofMillis(2));
+    assertThat(health.isAvoided(server.key())).isFalse();
+  }
+
   @Test
   void retriesLostServersAfterAnIntervalThatDoubles() {
     ServerInstance server = add("e1", "pool", "dc1");
--- a/core/src/test/java/org/galenapost/core/handover/HandoverPeersTest.java
+++ b/core/src/test/java/org/galenapost/core/handover/HandoverPeersTest.java
@@ -130,7 +130,7 @@
               useTracker,
               new InstanceHealth(time),
               () -> new HandoverStatus("10.0.0.1", 80, dataCentre, unreached, isAccepting),
-              unreachedElsewhere::add);
+              (daemonId, services) -> unreachedElsewhere.add(services));
       peers.start();
     }
   }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -321,6 +321,7 @@
             cellBus,
             useTracker,
             health,
+            statusBroadcaster,
             scheduler,
             clock,
             random::nextDouble);
@@ -332,7 +333,9 @@
     metrics.registerGauge("galenapost.gateway.stream.origins", origins::count);
     services.add(new UseReportExchange(useTracker, cellBus, scheduler));
     InstancePaces paces = new InstancePaces();
-    services.add(new InstanceCleaner(directory, health, pauses, limits, permits, paces, scheduler));
+    services.add(
+        new InstanceCleaner(
+            directory, health, statusBroadcaster, pauses, limits, permits, paces, scheduler));
     return new GatewayContext(
         settings.daemon().id(),
         clock,
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/HandoverWiring.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/HandoverWiring.java
@@ -1,7 +1,9 @@
 package org.galenapost.daemon.gateway;
 
+import java.util.Set;
 import java.util.function.IntSupplier;
 import org.galenapost.core.dispatch.InstanceHealth;
+import org.galenapost.core.dispatch.InstanceStatusBroadcaster;
 import org.galenapost.core.dispatch.ServerUseTracker;
 import org.galenapost.core.handover.HandoverPeers;
 import org.galenapost.core.handover.HandoverStatus;
@@ -23,6 +25,7 @@
   private final GatewaySettings settings;
   private final DaemonState state;
   private final IntSupplier callerPort;
+  private final InstanceStatusBroadcaster statusBroadcaster;
   private final ServerReach reach;
   private final HandoverPeers peers;
 
@@ -35,12 +38,14 @@
       PeerBus bus,
       ServerUseTracker useTracker,
       InstanceHealth health,
+      InstanceStatusBroadcaster statusBroadcaster,
       Scheduler scheduler,
       MonotonicClock clock,
       RandomSource random) {
     this.settings = settings;
     this.state = state;
     this.callerPort = callerPort;
+    this.statusBroadcaster = statusBroadcaster;
     this.reach =
         new ServerReach(
             directory, probes::probe, scheduler, clock, random, this::onServerReachChanged);
@@ -54,7 +59,7 @@
             useTracker,
             health,
             this::ownStatus,
-            services -> services.forEach(reach::check));
+            this::onUnreachedElsewhere);
   }
 
   private void onServerReachChanged(String service, boolean isReached) {
@@ -62,6 +67,11 @@
     peers.announce();
   }
 
+  private void onUnreachedElsewhere(String daemonId, Set<String> services) {
+    statusBroadcaster.setUnreached(daemonId, services);
+    services.forEach(reach::check);
+  }
+
   private HandoverStatus ownStatus() {
     boolean isAccepting = state.notReadyReason().isEmpty() && callerPort.getAsInt() > 0;
     return new HandoverStatus(
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/InstanceCleaner.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/InstanceCleaner.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.galenapost.core.dispatch.InstanceHealth;
+import org.galenapost.core.dispatch.InstanceStatusBroadcaster;
 import org.galenapost.core.dispatch.RequestedPauses;
 import org.galenapost.core.dispatch.SendPermits;
 import org.galenapost.core.dispatch.ServerLimits;
@@ -17,6 +18,7 @@
 
   private final InstanceDirectory directory;
   private final InstanceHealth health;
+  private final InstanceStatusBroadcaster statusBroadcaster;
   private final RequestedPauses pauses;
   private final ServerLimits limits;
   private final SendPermits permits;
@@ -27,6 +29,7 @@
   InstanceCleaner(
       InstanceDirectory directory,
       InstanceHealth health,
+      InstanceStatusBroadcaster statusBroadcaster,
       RequestedPauses pauses,
       ServerLimits limits,
       SendPermits permits,
@@ -34,6 +37,7 @@
       Scheduler scheduler) {
     this.directory = directory;
     this.health = health;
+    this.statusBroadcaster = statusBroadcaster;
     this.pauses = pauses;
     this.limits = limits;
     this.permits = permits;
@@ -63,6 +67,7 @@
     }
     directory.removeExpired();
     health.retainOnly(directory.keys());
+    statusBroadcaster.retainOnly(directory.keys());
     pauses.retainOnly(directory.keys());
     limits.retainOnly(directory.keys());
     permits.retainOnly(directory.keys());
