Run servers of two software versions in the soak and check streams for them

Change: each service has servers of v1 and v1.1, and the soak reports a stream whose resumed run has another version than the run that began it. Callers do not resume streams at other daemons there; GatewayStreamVersionTest does.

--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakChecks.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakChecks.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -114,6 +115,9 @@
     if (call.kind() == Kind.ONCE && runs.size() > 1) {
       addViolation(call, "ran more than once");
     }
+    if (call.kind() == Kind.STREAM && mixesVersions(runs)) {
+      addViolation(call, "went on at another software version");
+    }
     for (Execution execution : runs) {
       ServerStandin.Run run = execution.run();
       if (run.violatesHeaderPolicy()) {
@@ -131,6 +135,24 @@
     }
   }
 
+  /** Returns whether a run that resumes a stream has another version than the one that began it. */
+  private static boolean mixesVersions(List<Execution> runs) {
+    List<ServerStandin.Run> ordered =
+        runs.stream()
+            .map(Execution::run)
+            .sorted(Comparator.comparingLong(ServerStandin.Run::startedAtNanos))
+            .toList();
+    String version = "";
+    for (ServerStandin.Run run : ordered) {
+      if (!run.headers().containsKey("Last-Event-Id")) {
+        version = run.softwareVersion();
+      } else if (!run.softwareVersion().equals(version)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private boolean isDaemonUndisturbed(CallRecord call, long fromNanos, long toNanos) {
     return history.disturbances().isDaemonUndisturbed(call.daemon(), fromNanos, toNanos);
   }
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFleet.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFleet.java
@@ -21,6 +21,7 @@
 final class SoakFleet implements AutoCloseable {
 
   private static final List<String> DATA_CENTRES = List.of("z1", "z2", "z3");
+  private static final List<String> SOFTWARE_VERSIONS = List.of("v1", "v1.1");
   private static final int SERVERS_PER_SERVICE = 4;
 
   private final StoreStandin store = new StoreStandin();
@@ -39,7 +40,9 @@
         List.of(StoreContentWriter.STREAM_SERVICE, StoreContentWriter.UNARY_SERVICE)) {
       Set<String> kvBackupIds = ConcurrentHashMap.newKeySet();
       for (int i = 0; i < SERVERS_PER_SERVICE; i++) {
-        servers.add(new SoakServer(service + i, service, dataCentre(i), content, kvBackupIds));
+        servers.add(
+            new SoakServer(
+                service + i, service, dataCentre(i), softwareVersion(i), content, kvBackupIds));
       }
     }
     List<SoakDaemon.Ports> ports =
@@ -58,6 +61,10 @@
     return DATA_CENTRES.get(index % DATA_CENTRES.size());
   }
 
+  private static String softwareVersion(int index) {
+    return SOFTWARE_VERSIONS.get(index % SOFTWARE_VERSIONS.size());
+  }
+
   private static LinkStandin link(List<LinkStandin> links, int targetPort) {
     LinkStandin link =
         new LinkStandin(0, 0, new InetSocketAddress(HttpServer.LOOPBACK_IP, targetPort));
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakServer.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakServer.java
@@ -19,6 +19,7 @@
   private final String name;
   private final String service;
   private final String dataCentre;
+  private final String softwareVersion;
   private final StoreContentWriter content;
   private final Set<String> kvBackupIds;
   private final List<ServerStandin> instances = new CopyOnWriteArrayList<>();
@@ -31,6 +32,7 @@
    * @param name the prefix of the instance ids
    * @param service the service of the server
    * @param dataCentre the data centre of the server
+   * @param softwareVersion the version of the server's software
    * @param content writes the server's directory entries to the store
    * @param kvBackupIds the ids of calls whose KV cache was backed up, shared by the servers of a
    *     service
@@ -39,11 +41,13 @@
       String name,
       String service,
       String dataCentre,
+      String softwareVersion,
       StoreContentWriter content,
       Set<String> kvBackupIds) {
     this.name = name;
     this.service = service;
     this.dataCentre = dataCentre;
+    this.softwareVersion = softwareVersion;
     this.content = content;
     this.kvBackupIds = kvBackupIds;
     ServerStandin first = startInstance();
@@ -54,6 +58,7 @@
 
   private ServerStandin startInstance() {
     ServerStandin instance = new ServerStandin(name + "-" + instances.size(), 0, kvBackupIds);
+    instance.setSoftwareVersion(softwareVersion);
     instance.setEventInterval(EVENT_INTERVAL);
     instance.setProcessingTime(CALL_DURATION);
     instance.start();
--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/SoakChecksTest.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/SoakChecksTest.java
@@ -99,6 +99,37 @@
     assertThat(violations()).singleElement().asString().contains("not its server's answer");
   }
 
+  @Test
+  void reportsStreamThatGoesOnAtAnotherSoftwareVersion() {
+    allowKeys(KEY);
+    recordRun("c1", Kind.STREAM, now, Map.of(), "v1");
+    recordRun("c1", Kind.STREAM, now + MS, Map.of("Last-Event-Id", "3"), "v2");
+    recordCall(
+        "c1",
+        Kind.STREAM,
+        KEY,
+        Outcome.ANSWERED,
+        answer("c1", 200, ServerStandin.eventsAfter(0, "c1")));
+
+    assertThat(violations()).singleElement().asString().contains("another software version");
+  }
+
+  @Test
+  void acceptsStreamThatMovesBeforeItsFirstEvent() {
+    allowKeys(KEY);
+    recordRun("c1", Kind.STREAM, now, Map.of(), "v1");
+    recordRun("c1", Kind.STREAM, now + MS, Map.of(), "v2");
+    recordRun("c1", Kind.STREAM, now + 2 * MS, Map.of("Last-Event-Id", "3"), "v2");
+    recordCall(
+        "c1",
+        Kind.STREAM,
+        KEY,
+        Outcome.ANSWERED,
+        answer("c1", 200, ServerStandin.eventsAfter(0, "c1")));
+
+    assertThat(violations()).isEmpty();
+  }
+
   @Test
   void reportsTruncatedStreamThatLooksComplete() {
     allowKeys(KEY);
@@ -217,9 +248,15 @@
   }
 
   private void recordRun(String id, Kind kind, long beganNanos, Map<String, String> extraHeaders) {
+    recordRun(id, kind, beganNanos, extraHeaders, "v1");
+  }
+
+  private void recordRun(
+      String id, Kind kind, long beganNanos, Map<String, String> extraHeaders, String version) {
     Map<String, String> headers = new HashMap<>(extraHeaders);
     headers.put("X-Tenant", StoreContentWriter.WORKSPACE);
-    ServerStandin.Run run = new ServerStandin.Run(id, kind.prefix + id, headers, "", beganNanos);
+    ServerStandin.Run run =
+        new ServerStandin.Run(id, kind.prefix + id, headers, "", beganNanos, version);
     runs.computeIfAbsent(SERVER, server -> new ArrayList<>()).add(run);
   }
 
--- a/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
@@ -87,9 +87,15 @@
    * @param headers all headers
    * @param body the request body
    * @param startedAtNanos when execution started, as {@link System#nanoTime}
+   * @param softwareVersion the version of the server's software
    */
   public record Run(
-      String callId, String target, Map<String, String> headers, String body, long startedAtNanos) {
+      String callId,
+      String target,
+      Map<String, String> headers,
+      String body,
+      long startedAtNanos,
+      String softwareVersion) {
 
     /**
      * Returns whether the call carries headers that the gateway must not forward: the caller's key,
@@ -265,7 +271,14 @@
       exchange.reply(SERVICE_UNAVAILABLE, Map.of("X-Not-Executed", "1"), "");
       return;
     }
-    runs.add(new Run(callId, exchange.target(), headers, exchange.body(), System.nanoTime()));
+    runs.add(
+        new Run(
+            callId,
+            exchange.target(),
+            headers,
+            exchange.body(),
+            System.nanoTime(),
+            softwareVersion));
     exchange.onClose(() -> abortedCallIds.add(callId));
     if (headers.containsKey("X-Kv-Backup")) {
       kvBackupIds.add(callId);
