Tell a change of the handover status within a second

Cause: a daemon that drains told the others up to 4 s later, longer than it takes calls (2.2 s of notice), so calls handed over to it had to find another daemon. Change: the status is compared every second and told if it differs from the one told last. Measured: HandoverPeersTest.tellsOthersWithinASecondThatItDrains.

--- a/core/src/main/java/org/galenapost/core/handover/HandoverPeers.java
+++ b/core/src/main/java/org/galenapost/core/handover/HandoverPeers.java
@@ -26,8 +26,8 @@
 
   private static final String ID_PREFIX = "daemon:";
 
-  /** How soon a daemon that joins is told the status of the others. */
-  private static final Duration JOIN_CHECK_PERIOD = Duration.ofSeconds(1);
+  /** How soon a change of the status is told, and a daemon that joins told the status. */
+  private static final Duration CHECK_PERIOD = Duration.ofSeconds(1);
 
   /** Daemons that missed a change learn it this soon; shorter costs messages without news. */
   private static final Duration STATUS_PERIOD = Duration.ofSeconds(4);
@@ -48,6 +48,7 @@
   private final BiConsumer<String, Set<String>> onUnreachedElsewhere;
   private final Map<String, Peer> peers = new HashMap<>();
   private Set<String> toldDaemons = Set.of();
+  private HandoverStatus toldStatus;
   private long toldNanos;
   private boolean isRunning;
 
@@ -102,18 +103,22 @@
     if (!isRunning) {
       return;
     }
-    boolean isDue = clock.since(toldNanos).compareTo(STATUS_PERIOD) >= 0;
-    if (isDue || !toldDaemons.containsAll(bus.livePeerIds())) {
+    boolean isDue =
+        clock.since(toldNanos).compareTo(STATUS_PERIOD) >= 0
+            || !toldDaemons.containsAll(bus.livePeerIds())
+            || !ownStatus.get().equals(toldStatus);
+    if (isDue) {
       announce();
     }
-    scheduler.schedule(JOIN_CHECK_PERIOD, this::announcePeriodically);
+    scheduler.schedule(CHECK_PERIOD, this::announcePeriodically);
   }
 
   /** Tells the other daemons the status of this one. */
   public void announce() {
     toldDaemons = Set.copyOf(bus.livePeerIds());
     toldNanos = clock.nanos();
-    bus.broadcast(ownStatus.get());
+    toldStatus = ownStatus.get();
+    bus.broadcast(toldStatus);
   }
 
   private void onStatus(String daemonId, HandoverStatus status) {
--- a/core/src/test/java/org/galenapost/core/handover/HandoverPeersTest.java
+++ b/core/src/test/java/org/galenapost/core/handover/HandoverPeersTest.java
@@ -61,6 +61,17 @@
     assertThat(choose("d0", "app")).map(ServerInstance::id).contains("daemon:d1");
   }
 
+  @Test
+  void tellsOthersWithinASecondThatItDrains() {
+    start("d0 dc1", "d1 dc1");
+    assertThat(choose("d0", "pool")).isPresent();
+
+    daemons.get("d1").isAccepting = false;
+    time.advance(Duration.ofSeconds(1).plus(LATENCY));
+
+    assertThat(choose("d0", "pool")).isEmpty();
+  }
+
   @Test
   void tellsDaemonThatJoinsWithinSeconds() {
     start("d0 dc1", "d1 dc1");
