--- a/daemon/src/test/java/org/galenapost/daemon/peer/PeerCodecRoundTripTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/peer/PeerCodecRoundTripTest.java
@@ -32,6 +32,7 @@
 import org.galenapost.core.quarantine.ServerLoss;
 import org.galenapost.core.quarantine.SuspicionQuery;
 import org.galenapost.core.quarantine.SuspicionUpdate;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -72,6 +73,17 @@
         new IsolationClaim("s1", DIGEST, true));
   }
 
+  /** At 26 streams a second, a daemon tells 104 origins a second and may send 10 KB for control. */
+  @Test
+  void keepsTheOriginOfStreamSmall() throws IOException {
+    byte[] encoded =
+        PeerCodec.write(
+            new StreamOriginMessage.Announcement(
+                "9c41d07be2a35f68", new StreamOrigin("galena-pool", "v1.1"), 25_000));
+
+    assertThat(encoded).hasSizeLessThan(90);
+  }
+
   @ParameterizedTest
   @MethodSource("messages")
   void decodesWhatItEncoded(PeerMessage message) throws IOException {
