Do not accuse requests of crashing servers that a daemon lost its links to

What callers saw: a call that was in flight while its daemon lost all servers ended with 502, "this request ended 2 backend servers; it runs no more", and would have been refused everywhere. Cause: a server whose host accepts no connection counts against the calls that were in flight there, and to a daemon without links all hosts look like that. Change: a loss is attributed only if another server of the service accepts a connection; the check concludes with the first one that does, so it costs some ms.

--- a/core/src/main/java/org/galenapost/core/handover/ServerReach.java
+++ b/core/src/main/java/org/galenapost/core/handover/ServerReach.java
@@ -125,11 +125,28 @@
     ServiceState state = stateOf(service);
     boolean isRecent =
         state.wasChecked && clock.since(state.checkedNanos).compareTo(MIN_CHECK_INTERVAL) < 0;
-    if (state.isReached && !isRecent) {
+    if (state.isReached && !isRecent && !state.isChecking) {
       startCheck(service, state);
     }
   }
 
+  /**
+   * Checks a service like {@link #check(String)} and reports the result.
+   *
+   * @param service the service
+   * @param onResult receives whether this daemon reaches servers of the service, at once if that
+   *     has just been checked
+   */
+  public void check(String service, Consumer<Boolean> onResult) {
+    check(service);
+    ServiceState state = stateOf(service);
+    if (state.isChecking) {
+      state.waiting.add(onResult);
+    } else {
+      onResult.accept(state.isReached);
+    }
+  }
+
   private void startCheck(String service, ServiceState state) {
     state.wasChecked = true;
     state.checkedNanos = clock.nanos();
@@ -138,6 +155,7 @@
       onChecked(service, state, state.isReached);
       return;
     }
+    state.isChecking = true;
     Check check = new Check(service, state, sample.size());
     sample.forEach(server -> prober.probe(server, check::onResult));
   }
@@ -160,6 +178,7 @@
   }
 
   private void onChecked(String service, ServiceState state, boolean isAnyReached) {
+    state.isChecking = false;
     if (state.isReached) {
       if (!isAnyReached) {
         state.isReached = false;
@@ -174,6 +193,9 @@
         listener.onChange(service, true);
       }
     }
+    List<Consumer<Boolean>> waiting = List.copyOf(state.waiting);
+    state.waiting.clear();
+    waiting.forEach(onResult -> onResult.accept(state.isReached));
     if (!state.isReached) {
       scheduler.schedule(RECHECK_PERIOD, () -> startCheck(service, state));
     }
@@ -188,7 +210,7 @@
     private final String service;
     private final ServiceState state;
     private int pendingProbes;
-    private boolean isAnyReached;
+    private boolean isConcluded;
 
     Check(String service, ServiceState state, int probes) {
       this.service = service;
@@ -197,17 +219,19 @@
     }
 
     void onResult(boolean isAccepted) {
-      isAnyReached = isAnyReached || isAccepted;
       pendingProbes--;
-      if (pendingProbes == 0) {
-        onChecked(service, state, isAnyReached);
+      if (!isConcluded && (isAccepted || pendingProbes == 0)) {
+        isConcluded = true;
+        onChecked(service, state, isAccepted);
       }
     }
   }
 
   private static final class ServiceState {
     private final Map<InstanceKey, Long> failureNanos = new HashMap<>();
+    private final List<Consumer<Boolean>> waiting = new ArrayList<>();
     private boolean isReached = true;
+    private boolean isChecking;
     private boolean wasChecked;
     private long checkedNanos;
     private int successfulChecks;
--- a/core/src/test/java/org/galenapost/core/handover/ServerReachTest.java
+++ b/core/src/test/java/org/galenapost/core/handover/ServerReachTest.java
@@ -112,6 +112,22 @@
     assertThat(changes).containsExactly("pool false", "pool true");
   }
 
+  @Test
+  void reportsToThoseWhoWaitForTheCheck() {
+    List<Boolean> results = new ArrayList<>();
+    unreachable.addAll(servers.subList(1, servers.size()));
+    reach.check("pool", results::add);
+    reach.check("pool", results::add);
+    time.advance(PROBE_TIME.multipliedBy(4));
+    int answered = results.size();
+    unreachable.addAll(servers);
+    reach.check("pool", results::add);
+    time.advance(PROBE_TIME);
+
+    assertThat(answered).isEqualTo(2);
+    assertThat(results).hasSize(3).endsWith(false);
+  }
+
   @Test
   void boundsItsProbesWhileServersFail() {
     for (int i = 0; i < 100; i++) {
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/ServerLosses.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/ServerLosses.java
@@ -50,13 +50,12 @@
   }
 
   /**
-   * Attributes the loss of a server to the call if its host does not accept connections either. A
-   * reset by a live server says nothing about the call. The call stays isolated on the server until
-   * the probe ends.
+   * Attributes the loss of a server to the call if its host does not accept connections either,
+   * while those of other servers do. A reset by a live server says nothing about the call. The call
+   * stays isolated on the server until the probes end.
    */
   void attribute(Attempt attempt, Runnable onAttributed) {
     int offset = (int) Math.min(Integer.MAX_VALUE, relay.offset());
-    String server = attempt.instance().key().text();
     context
         .probes()
         .probe(
@@ -65,11 +64,28 @@
               log.logServerChecked(attempt, isReachable);
               if (isReachable) {
                 sender.releaseIsolation(attempt);
+                onAttributed.run();
               } else {
+                attributeUnlessCutOff(attempt, offset, onAttributed);
+              }
+            });
+  }
+
+  /** A daemon that reaches no server of the service has lost its links, not the server. */
+  private void attributeUnlessCutOff(Attempt attempt, int offset, Runnable onAttributed) {
+    String server = attempt.instance().key().text();
+    context
+        .serverReach()
+        .check(
+            call.service().name(),
+            isServiceReached -> {
+              if (isServiceReached) {
                 context
                     .requestGuard()
                     .onServerLost(server, call.digest(), offset, attempt.eventCount() == 0);
                 promptParts.onServerLost(server, attempt.eventCount());
+              } else {
+                sender.releaseIsolation(attempt);
               }
               onAttributed.run();
             });
