--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -20,17 +20,8 @@
 import org.galenapost.core.configuration.FollowSettings;
 import org.galenapost.core.configuration.StartCheck;
 import org.galenapost.core.configuration.WatchAssignment;
-import org.galenapost.core.dispatch.BrittleServers;
-import org.galenapost.core.dispatch.InstanceChooser;
-import org.galenapost.core.dispatch.InstanceHealth;
-import org.galenapost.core.dispatch.InstanceStatusBroadcaster;
-import org.galenapost.core.dispatch.RequestedPauses;
-import org.galenapost.core.dispatch.RetiredInstancesExchange;
 import org.galenapost.core.dispatch.RetryLoans;
 import org.galenapost.core.dispatch.SendBudget;
-import org.galenapost.core.dispatch.SendPermits;
-import org.galenapost.core.dispatch.ServerLimits;
-import org.galenapost.core.dispatch.ServerUseTracker;
 import org.galenapost.core.instance.InstanceDirectory;
 import org.galenapost.core.membership.HeartbeatMembership;
 import org.galenapost.core.membership.MemberRecord;
@@ -54,7 +45,6 @@
 import org.galenapost.daemon.gateway.run.BufferBudget;
 import org.galenapost.daemon.gateway.run.GatewayContext;
 import org.galenapost.daemon.gateway.run.GatewayMeters;
-import org.galenapost.daemon.gateway.run.InstancePaces;
 import org.galenapost.daemon.gateway.upstream.ConnectProbes;
 import org.galenapost.daemon.gateway.upstream.ServerAddresses;
 import org.galenapost.daemon.gateway.upstream.ServerConnectionPool;
@@ -282,61 +272,17 @@
       FleetCells cells,
       EventLoopStallGuard stallGuard,
       DaemonState state) {
-    ServerUseTracker useTracker = new ServerUseTracker();
-    InstanceHealth health = new InstanceHealth(clock);
-    ServerConnectionPool pool =
-        new ServerConnectionPool(
-            loop, format, clock, settings.timings().connectTimeout(), serverAddresses);
-    PromptPartQuarantine partQuarantine = promptPartQuarantine();
-    SendBudget budget = sendBudget();
-    IntSupplier liveDaemonCount = () -> bus.livePeerIds().size() + 1;
     CellBus cellBus = new CellBus(bus, cells);
-    InstanceStatusBroadcaster statusBroadcaster =
-        new InstanceStatusBroadcaster(health, directory, cellBus, bus);
-    RequestedPauses pauses = new RequestedPauses(clock);
-    ServerLimits limits = new ServerLimits(bus, clock, GatewayLog.serverLimits());
-    SendPermits permits = sendPermits(limits, pauses);
-    BrittleServers brittleServers =
-        new BrittleServers(bus, clock, pauses, GatewayLog.brittleServers());
-    services.add(Service.of("brittle-servers", brittleServers::start, () -> {}));
-    metrics.registerGauge("galenapost.gateway.servers.brittle", brittleServers::count);
-    StreamOrigins origins = new StreamOrigins(bus, scheduler, clock);
-    RetiredInstancesExchange retiredExchange =
-        new RetiredInstancesExchange(directory, bus, scheduler, random::nextDouble);
+    ServerStateWiring servers = serverStateWiring(directory, cells, cellBus);
     ConnectProbes probes = new ConnectProbes(loop, serverAddresses);
-    handover =
-        new HandoverWiring(
-            settings,
-            state,
-            () -> callerListener.map(HttpListener::port).orElse(0),
-            directory,
-            probes,
-            cellBus,
-            useTracker,
-            health,
-            statusBroadcaster,
-            scheduler,
-            clock,
-            random::nextDouble);
+    handover = handoverWiring(directory, probes, cellBus, servers, state);
     handover.addGauges(metrics);
-    services.add(pool);
-    services.add(Service.of("instance-news", statusBroadcaster::start, () -> {}));
-    services.add(Service.of("retired-servers", retiredExchange::start, retiredExchange::stop));
-    services.add(Service.of("stream-origins", origins::start, origins::stop));
-    metrics.registerGauge("galenapost.gateway.stream.origins", origins::count);
-    services.add(new UseReportExchange(useTracker, cellBus, scheduler));
-    InstancePaces paces = new InstancePaces();
-    services.add(
-        new InstanceCleaner(
-            directory,
-            health,
-            statusBroadcaster,
-            pauses,
-            limits,
-            brittleServers,
-            permits,
-            paces,
-            scheduler));
+    PromptPartQuarantine partQuarantine = promptPartQuarantine();
+    SendBudget budget = sendBudget();
+    IntSupplier liveDaemonCount = () -> bus.livePeerIds().size() + 1;
+    ServerConnectionPool pool = serverConnectionPool();
+    StreamOrigins origins = streamOrigins();
+    services.addAll(servers.services());
     return new GatewayContext(
         settings.daemon().id(),
         clock,
@@ -345,56 +291,79 @@
         pool,
         probes,
         directory,
-        instanceChooser(directory, cells, useTracker, health, pauses, brittleServers),
-        useTracker,
-        health,
-        pauses,
-        limits,
-        brittleServers,
-        permits,
+        servers.chooser(),
+        servers.useTracker(),
+        servers.health(),
+        servers.pauses(),
+        servers.limits(),
+        servers.brittleServers(),
+        servers.permits(),
         origins,
         handover.reach(),
         handover.peers(),
         tickets,
-        statusBroadcaster,
+        servers.statusBroadcaster(),
         budget,
         new RetryLoans(budget, cellBus, scheduler, liveDaemonCount, random::nextDouble),
         requestQuarantine(partQuarantine),
         partQuarantine,
         stallGuard,
-        paces,
+        servers.paces(),
         new BufferBudget(),
         new GatewayMeters(metrics.registry()),
         liveDaemonCount);
   }
 
-  private InstanceChooser instanceChooser(
+  private ServerStateWiring serverStateWiring(
+      InstanceDirectory directory, FleetCells cells, CellBus cellBus) {
+    ServerStateWiring servers =
+        new ServerStateWiring(
+            settings.daemon(),
+            directory,
+            cells,
+            bus,
+            cellBus,
+            scheduler,
+            clock,
+            random::nextDouble);
+    servers.addGauges(metrics);
+    return servers;
+  }
+
+  private HandoverWiring handoverWiring(
       InstanceDirectory directory,
-      FleetCells cells,
-      ServerUseTracker useTracker,
-      InstanceHealth health,
-      RequestedPauses pauses,
-      BrittleServers brittleServers) {
-    return new InstanceChooser(
-        settings.daemon().dataCentre(),
+      ConnectProbes probes,
+      CellBus cellBus,
+      ServerStateWiring servers,
+      DaemonState state) {
+    return new HandoverWiring(
+        settings,
+        state,
+        () -> callerListener.map(HttpListener::port).orElse(0),
         directory,
-        cells::contains,
-        useTracker,
-        health,
-        pauses,
-        brittleServers::isBrittle,
+        probes,
+        cellBus,
+        servers.useTracker(),
+        servers.health(),
+        servers.statusBroadcaster(),
+        scheduler,
+        clock,
         random::nextDouble);
   }
 
-  private SendPermits sendPermits(ServerLimits limits, RequestedPauses pauses) {
-    SendPermits permits =
-        new SendPermits(settings.daemon().id(), bus, scheduler, clock, limits, pauses);
-    services.add(Service.of("server-limits", limits::start, () -> {}));
-    services.add(Service.of("send-permits", permits::start, permits::stop));
-    metrics.registerGauge("galenapost.gateway.servers.limited", limits::count);
-    metrics.registerGauge("galenapost.gateway.permits.granted", permits::grantedCount);
-    metrics.registerGauge("galenapost.gateway.permits.denied", permits::deniedCount);
-    return permits;
+  private ServerConnectionPool serverConnectionPool() {
+    ServerConnectionPool pool =
+        new ServerConnectionPool(
+            loop, format, clock, settings.timings().connectTimeout(), serverAddresses);
+    services.add(pool);
+    return pool;
+  }
+
+  private StreamOrigins streamOrigins() {
+    StreamOrigins origins = new StreamOrigins(bus, scheduler, clock);
+    services.add(Service.of("stream-origins", origins::start, origins::stop));
+    metrics.registerGauge("galenapost.gateway.stream.origins", origins::count);
+    return origins;
   }
 
   private PromptPartQuarantine promptPartQuarantine() {
--- /dev/null
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/ServerStateWiring.java
@@ -0,0 +1,136 @@
+package org.galenapost.daemon.gateway;
+
+import java.util.List;
+import org.galenapost.core.cell.CellBus;
+import org.galenapost.core.cell.FleetCells;
+import org.galenapost.core.dispatch.BrittleServers;
+import org.galenapost.core.dispatch.InstanceChooser;
+import org.galenapost.core.dispatch.InstanceHealth;
+import org.galenapost.core.dispatch.InstanceStatusBroadcaster;
+import org.galenapost.core.dispatch.RequestedPauses;
+import org.galenapost.core.dispatch.RetiredInstancesExchange;
+import org.galenapost.core.dispatch.SendPermits;
+import org.galenapost.core.dispatch.ServerLimits;
+import org.galenapost.core.dispatch.ServerUseTracker;
+import org.galenapost.core.instance.InstanceDirectory;
+import org.galenapost.core.peer.PeerBus;
+import org.galenapost.core.time.MonotonicClock;
+import org.galenapost.core.time.RandomSource;
+import org.galenapost.core.time.Scheduler;
+import org.galenapost.daemon.gateway.run.InstancePaces;
+import org.galenapost.daemon.metrics.DaemonMetrics;
+import org.galenapost.daemon.service.Service;
+import org.galenapost.daemon.settings.DaemonSettings;
+
+/** Joins what a daemon knows of servers: their use, failures and wishes, and the choice by them. */
+final class ServerStateWiring {
+
+  private final InstanceDirectory directory;
+  private final CellBus cellBus;
+  private final Scheduler scheduler;
+  private final ServerUseTracker useTracker = new ServerUseTracker();
+  private final InstancePaces paces = new InstancePaces();
+  private final InstanceHealth health;
+  private final InstanceStatusBroadcaster statusBroadcaster;
+  private final RequestedPauses pauses;
+  private final ServerLimits limits;
+  private final SendPermits permits;
+  private final BrittleServers brittleServers;
+  private final RetiredInstancesExchange retiredExchange;
+  private final InstanceChooser chooser;
+
+  ServerStateWiring(
+      DaemonSettings daemon,
+      InstanceDirectory directory,
+      FleetCells cells,
+      PeerBus bus,
+      CellBus cellBus,
+      Scheduler scheduler,
+      MonotonicClock clock,
+      RandomSource random) {
+    this.directory = directory;
+    this.cellBus = cellBus;
+    this.scheduler = scheduler;
+    this.health = new InstanceHealth(clock);
+    this.statusBroadcaster = new InstanceStatusBroadcaster(health, directory, cellBus, bus);
+    this.pauses = new RequestedPauses(clock);
+    this.limits = new ServerLimits(bus, clock, GatewayLog.serverLimits());
+    this.permits = new SendPermits(daemon.id(), bus, scheduler, clock, limits, pauses);
+    this.brittleServers = new BrittleServers(bus, clock, pauses, GatewayLog.brittleServers());
+    this.retiredExchange = new RetiredInstancesExchange(directory, bus, scheduler, random);
+    this.chooser =
+        new InstanceChooser(
+            daemon.dataCentre(),
+            directory,
+            cells::contains,
+            useTracker,
+            health,
+            pauses,
+            brittleServers::isBrittle,
+            random);
+  }
+
+  /** Returns the services in the order in which they start. */
+  List<Service> services() {
+    return List.of(
+        Service.of("server-limits", limits::start, () -> {}),
+        Service.of("send-permits", permits::start, permits::stop),
+        Service.of("brittle-servers", brittleServers::start, () -> {}),
+        Service.of("instance-news", statusBroadcaster::start, () -> {}),
+        Service.of("retired-servers", retiredExchange::start, retiredExchange::stop),
+        new UseReportExchange(useTracker, cellBus, scheduler),
+        new InstanceCleaner(
+            directory,
+            health,
+            statusBroadcaster,
+            pauses,
+            limits,
+            brittleServers,
+            permits,
+            paces,
+            scheduler));
+  }
+
+  void addGauges(DaemonMetrics metrics) {
+    metrics.registerGauge("galenapost.gateway.servers.limited", limits::count);
+    metrics.registerGauge("galenapost.gateway.permits.granted", permits::grantedCount);
+    metrics.registerGauge("galenapost.gateway.permits.denied", permits::deniedCount);
+    metrics.registerGauge("galenapost.gateway.servers.brittle", brittleServers::count);
+  }
+
+  ServerUseTracker useTracker() {
+    return useTracker;
+  }
+
+  InstancePaces paces() {
+    return paces;
+  }
+
+  InstanceHealth health() {
+    return health;
+  }
+
+  InstanceStatusBroadcaster statusBroadcaster() {
+    return statusBroadcaster;
+  }
+
+  RequestedPauses pauses() {
+    return pauses;
+  }
+
+  ServerLimits limits() {
+    return limits;
+  }
+
+  SendPermits permits() {
+    return permits;
+  }
+
+  BrittleServers brittleServers() {
+    return brittleServers;
+  }
+
+  InstanceChooser chooser() {
+    return chooser;
+  }
+}
