Tell an address that others reach when callers are served on all addresses

Cause: a daemon that listens for callers on 0.0.0.0 told others to hand calls over to that address, which is their own host. Found by reading. Change: it tells the address of its listener for daemons then. Measured: compiles; no deployment of the users listens so, and no test plays it.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/HandoverWiring.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/HandoverWiring.java
@@ -16,6 +16,7 @@
 import org.galenapost.daemon.gateway.upstream.ConnectProbes;
 import org.galenapost.daemon.lifecycle.DaemonState;
 import org.galenapost.daemon.metrics.DaemonMetrics;
+import org.galenapost.daemon.net.IpAddresses;
 import org.galenapost.daemon.service.Service;
 import org.galenapost.daemon.settings.GatewaySettings;
 
@@ -75,13 +76,22 @@
   private HandoverStatus ownStatus() {
     boolean isAccepting = state.notReadyReason().isEmpty() && callerPort.getAsInt() > 0;
     return new HandoverStatus(
-        settings.caller().address().ip(),
+        reachableIp(),
         callerPort.getAsInt(),
         settings.daemon().dataCentre(),
         reach.unreachedServices(),
         isAccepting);
   }
 
+  /**
+   * Returns where others reach the callers' listener; one on all addresses is reached as a peer.
+   */
+  private String reachableIp() {
+    String callerIp = settings.caller().address().ip();
+    boolean isOnAllAddresses = IpAddresses.address(callerIp).isAnyLocalAddress();
+    return isOnAllAddresses ? settings.peer().address().ip() : callerIp;
+  }
+
   ServerReach reach() {
     return reach;
   }
