Take streams up at their version when the caller has the event 0 only

Cause: Last-Event-Id: 0 was taken for a stream of which the caller has nothing, but the users' pages only say that ids increase. Found by reading. Change: a call that names an earlier attempt or an event is a take-up, whatever the number.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/StreamTakeUp.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/StreamTakeUp.java
@@ -42,8 +42,9 @@
    */
   public void resolve(
       AcceptedCall call, ServiceLookup services, Consumer<Either<Refusal, AcceptedCall>> onResult) {
-    boolean isTakeUp =
-        call.route().kind() == CallKind.STREAM && call.head().resumeAfter().orElse(0) > 0;
+    boolean namesEarlierAttempt =
+        call.head().resumeAfter().isPresent() || call.head().resumedStreamId().isPresent();
+    boolean isTakeUp = call.route().kind() == CallKind.STREAM && namesEarlierAttempt;
     if (call.origin().isPresent()) {
       onResult.accept(bind(call, services, new StreamOrigins.Result(call.origin(), true)));
       return;
