--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,6 +1,7 @@
 #!/bin/bash
 # Full servers reject unsafe requests; a few second answers arrive late, where the next response is expected.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+export TROUBLE="${TROUBLE:-1}" # 0: the same without the disruption
 cd "$(dirname "$0")/../.." || exit 2
 [ -f review/target/classes/SecondAnswerCase.class ] || { echo "run review/build.sh first"; exit 2; }
 exec java -Xmx256m -cp review/target/classes SecondAnswerCase review/1
