Send a call only once on a connection

Callers saw an unsafe request run twice, or a refusal that promised not-run for one that ran. A response names the call and not the send. A call that full servers refused came again on a connection that had carried it before; the late second copy of the first answer was taken for the answer to the second send, which was running. If a further send was allowed the call ran elsewhere too (TWICE), if not its caller was told not-run (REFUSED).

Now only the connection tells which send an answer belongs to, so a connection carries a call once: OutgoingCall knows the connections that it has used, and the pool passes over them. Weighed: closing a connection with each refusal costs a new one for every refusal of a full server; a fresh connection for each repeat costs one where another idle one would do.

The stand-in of a server now names the call in refusals too, as servers do, and can send late copies.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/Sender.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/Sender.java
@@ -14,6 +14,7 @@
 import org.galenapost.core.route.EngineMemory;
 import org.galenapost.daemon.gateway.call.HandoverTicket;
 import org.galenapost.daemon.gateway.call.SendOptions;
+import org.galenapost.daemon.gateway.upstream.OutgoingCall;
 
 /** Chooses servers for one call, plans its sends and starts them. */
 final class Sender {
@@ -30,6 +31,7 @@
   private final EventRelay relay;
   private final StreamBinding binding;
   private final CallRun run;
+  private final OutgoingCall outgoingCall;
 
   Sender(
       GatewayContext context,
@@ -42,6 +44,7 @@
     this.relay = relay;
     this.binding = binding;
     this.run = run;
+    this.outgoingCall = new OutgoingCall(call.head().id(), call.route().allowsRetry());
   }
 
   /**
@@ -128,10 +131,7 @@
     }
     Attempt attempt = new Attempt(context, run, relay, plan, reservation, copyReservation);
     run.setCurrentAttempt(attempt);
-    attempt.setServerCall(
-        context
-            .pool()
-            .send(plan.instance(), call.head().id(), request, call.route().allowsRetry(), attempt));
+    attempt.setServerCall(context.pool().send(plan.instance(), outgoingCall, request, attempt));
     return attempt;
   }
 
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
@@ -83,10 +83,16 @@
     return idle.compareTo(limit) <= 0 && idle.compareTo(idleLimit) <= 0;
   }
 
-  /** Sends a call on this idle connection. */
-  void send(String id, FullHttpRequest request, ResponseListener responseListener) {
+  /** Returns the number of this connection, unique in this process. */
+  long number() {
+    return number;
+  }
+
+  /** Sends a call on this idle connection, which has not carried the call before. */
+  void send(OutgoingCall call, FullHttpRequest request, ResponseListener responseListener) {
+    call.recordUse(number);
     sendCount++;
-    callId = id;
+    callId = call.id();
     listener = responseListener;
     hasHead = false;
     isResponseSkipped = false;
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
@@ -107,33 +107,37 @@
    * Sends a call.
    *
    * @param instance the server
-   * @param callId the id of the call; a response that names another id is skipped
+   * @param call the call, which goes on no connection that has carried it before
    * @param request the request, which the pool releases
-   * @param isRetryable whether the call may be sent again if the server has just closed the
-   *     connection
    * @param listener receives the response
    * @return a handle to the send
    */
   public ServerCall send(
       ServerInstance instance,
-      String callId,
+      OutgoingCall call,
       FullHttpRequest request,
-      boolean isRetryable,
       ResponseListener listener) {
-    ServerConnection pooled =
-        takeIdle(instance.key(), isRetryable ? NO_IDLE_LIMIT : MAX_IDLE_WITHOUT_RETRY);
+    ServerConnection pooled = takeIdle(instance.key(), call);
     if (pooled != null) {
-      pooled.send(callId, request, listener);
+      pooled.send(call, request, listener);
       return pooled;
     }
-    return open(instance, callId, request, listener);
+    return open(instance, call, request, listener);
   }
 
-  private ServerConnection takeIdle(InstanceKey instance, Duration maxIdle) {
-    Deque<ServerConnection> pool = idleConnections.get(instance);
-    while (pool != null && !pool.isEmpty()) {
-      ServerConnection connection = pool.pollLast();
-      if (connection.isOpen() && connection.isIdleWithin(clock.nanos(), maxIdle)) {
+  /** Returns the connection that was used last, or null if there is none for the call. */
+  private ServerConnection takeIdle(InstanceKey instance, OutgoingCall call) {
+    Duration maxIdle = call.isRetryable() ? NO_IDLE_LIMIT : MAX_IDLE_WITHOUT_RETRY;
+    Iterator<ServerConnection> lastUsedFirst =
+        idleConnections.getOrDefault(instance, new ArrayDeque<>()).descendingIterator();
+    while (lastUsedFirst.hasNext()) {
+      ServerConnection connection = lastUsedFirst.next();
+      boolean isUsable = connection.isOpen() && connection.isIdleWithin(clock.nanos(), maxIdle);
+      if (isUsable && call.hasUsed(connection.number())) {
+        continue;
+      }
+      lastUsedFirst.remove();
+      if (isUsable) {
         return connection;
       }
       connection.close();
@@ -142,7 +146,10 @@
   }
 
   private ServerCall open(
-      ServerInstance instance, String callId, FullHttpRequest request, ResponseListener listener) {
+      ServerInstance instance,
+      OutgoingCall call,
+      FullHttpRequest request,
+      ResponseListener listener) {
     openedConnectionCount++;
     ServerConnection connection =
         new ServerConnection(openedConnectionCount, instance.key(), format, this::returnToPool);
@@ -154,17 +161,17 @@
     // event loop cancels the call first.
     connecting.addListener(
         (ChannelFuture done) ->
-            loop.execute(() -> onConnected(connectingCall, done, callId, request, listener)));
+            loop.execute(() -> onConnected(connectingCall, done, call, request, listener)));
     return connectingCall;
   }
 
   private static void onConnected(
-      ConnectingCall call,
+      ConnectingCall connecting,
       ChannelFuture connected,
-      String callId,
+      OutgoingCall call,
       FullHttpRequest request,
       ResponseListener listener) {
-    if (call.isCancelled) {
+    if (connecting.isCancelled) {
       ReferenceCountUtil.release(request);
       connected.channel().close();
     } else if (!connected.isSuccess()) {
@@ -174,8 +181,8 @@
       ReferenceCountUtil.release(request);
       listener.onFailure(SendFailure.unreachable(new ClosedChannelException()));
     } else {
-      call.isOpen = true;
-      call.connection.send(callId, request, listener);
+      connecting.isOpen = true;
+      connecting.connection.send(call, request, listener);
     }
   }
 
--- a/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -38,6 +40,9 @@
   private final List<Run> runs = new CopyOnWriteArrayList<>();
   private final AtomicInteger callCount = new AtomicInteger();
   private final List<String> abortedCallIds = new CopyOnWriteArrayList<>();
+  private final AtomicInteger remainingRefusals = new AtomicInteger();
+  private final AtomicInteger remainingFailures = new AtomicInteger();
+  private final Map<String, String> lateCopies = new ConcurrentHashMap<>();
   private volatile Behaviour behaviour = Behaviour.SERVING;
   private volatile Duration processingTime = Duration.ofMillis(5);
   private volatile Duration eventInterval = Duration.ofMillis(10);
@@ -45,13 +50,17 @@
   private volatile Optional<String> serverLimit = Optional.empty();
   private volatile Optional<String> brittleness = Optional.empty();
   private volatile boolean isLeaving;
+  private volatile boolean sendsLateCopies;
+  private volatile boolean namesCalls = true;
+  private volatile boolean sealsFailures = true;
+  private volatile int failureStatus = INTERNAL_SERVER_ERROR;
   private volatile String softwareVersion = "v1";
 
   /** How the server handles calls. */
   public enum Behaviour {
     /** It responds normally. */
     SERVING,
-    /** It runs calls and responds with status 500. */
+    /** It runs calls and responds with a status of failure, 500 unless another one is set. */
     FAILING,
     /** It rejects calls with status 503 and does not run them. */
     FULL,
@@ -76,7 +85,9 @@
     /** It sends the head of a response without end. */
     ENDLESS_HEAD,
     /** It sends the body of a response without end. */
-    ENDLESS_BODY
+    ENDLESS_BODY,
+    /** It responds with status 421, as a server does that is not the expected one. */
+    MISDIRECTING
   }
 
   /**
@@ -198,6 +209,41 @@
     retryAfterSeconds = Optional.of(seconds);
   }
 
+  /** Makes the server reject the next calls with status 503 without running them. */
+  public void refuseNext(int count) {
+    remainingRefusals.set(count);
+  }
+
+  /** Makes the server run the next calls and fail them with status 500. */
+  public void failNext(int count) {
+    remainingFailures.set(count);
+  }
+
+  /**
+   * Makes the server send each of its responses that is no stream a second time, late: before its
+   * response to the next request on the connection.
+   */
+  public void sendLateCopies() {
+    sendsLateCopies = true;
+  }
+
+  /** Makes the server leave the id of the call out of its refusals and failures. */
+  public void omitCallIds() {
+    namesCalls = false;
+  }
+
+  /**
+   * Makes the server run calls and fail them.
+   *
+   * @param status the status of its responses
+   * @param isSealed whether its responses carry its seal
+   */
+  public void failWith(int status, boolean isSealed) {
+    failureStatus = status;
+    sealsFailures = isSealed;
+    behaviour = Behaviour.FAILING;
+  }
+
   /** Returns the number of calls received, including rejected ones. */
   public int callCount() {
     return callCount.get();
@@ -249,7 +295,13 @@
   private void handle(Exchange exchange) {
     Map<String, String> headers = exchange.headers();
     String callId = headers.getOrDefault("X-Attempt-Id", "");
-    if (!headers.getOrDefault("X-Expect-Instance", instanceId).equals(instanceId)) {
+    if (namesCalls) {
+      exchange.setResponseHeader("X-Attempt-Id", callId);
+    }
+    Optional.ofNullable(lateCopies.remove(exchange.connectionId())).ifPresent(exchange::replyRaw);
+    boolean isMisdirected =
+        !headers.getOrDefault("X-Expect-Instance", instanceId).equals(instanceId);
+    if (isMisdirected || behaviour == Behaviour.MISDIRECTING) {
       exchange.reply(MISDIRECTED_REQUEST, Map.of("X-Instance-Id", instanceId), "");
       return;
     }
@@ -267,8 +319,9 @@
       return;
     }
     boolean lacksKvBackup = headers.containsKey("Kv-From") && !kvBackupIds.contains(callId);
-    if (behaviour == Behaviour.FULL || lacksKvBackup) {
-      exchange.reply(SERVICE_UNAVAILABLE, Map.of("X-Not-Executed", "1"), "");
+    boolean isRefusal = takeOne(remainingRefusals);
+    if (behaviour == Behaviour.FULL || lacksKvBackup || isRefusal) {
+      reply(exchange, callId, SERVICE_UNAVAILABLE, Map.of("X-Not-Executed", "1"), "");
       return;
     }
     runs.add(
@@ -291,16 +344,34 @@
             TimeUnit.MILLISECONDS);
   }
 
+  private static boolean takeOne(AtomicInteger remaining) {
+    return remaining.getAndUpdate(left -> Math.max(0, left - 1)) > 0;
+  }
+
+  private void reply(
+      Exchange exchange, String callId, int status, Map<String, String> headers, String body) {
+    exchange.reply(status, headers, body);
+    if (sendsLateCopies) {
+      Map<String, String> copied = new TreeMap<>(headers);
+      copied.put("X-Attempt-Id", callId);
+      lateCopies.put(exchange.connectionId(), rawResponse(status, copied, body));
+    }
+  }
+
   private void respond(Exchange exchange, String callId, Map<String, String> headers) {
     Map<String, String> sealed = Map.of("X-Attempt-Id", callId, "X-Response-Seal", sealOf(callId));
-    switch (behaviour) {
+    switch (takeOne(remainingFailures) ? Behaviour.FAILING : behaviour) {
       case SILENT -> {}
       case RESETTING -> exchange.reset();
       case CRASHED_BY_CALLS -> crashOrRespond(exchange, headers, sealed);
       case ENDLESS_HEAD -> exchange.replyEndlessly("HTTP/1.1 200 OK\r\nX-Filler: ", FILLER);
       case ENDLESS_BODY -> exchange.replyEndlessly(endlessHead(headers, sealed), FILLER);
       case GARBLING -> exchange.replyRaw("no answer at all\r\n\r\n");
-      case FAILING -> exchange.reply(INTERNAL_SERVER_ERROR, sealed, "failed by " + instanceId);
+      case FAILING -> {
+        Map<String, String> seal = Map.of("X-Response-Seal", sealOf(callId));
+        Map<String, String> own = sealsFailures ? seal : Map.of();
+        reply(exchange, callId, failureStatus, own, "failed by " + instanceId);
+      }
       case UNSEALED -> exchange.reply(OK, Map.of("X-Attempt-Id", callId), "forged");
       case CROSSING -> streamOrSendTwoResponses(exchange, callId, headers, sealed);
       default -> respondNormally(exchange, headers, sealed);
@@ -314,9 +385,9 @@
       long after = Long.parseLong(headers.getOrDefault("Last-Event-Id", "0"));
       streamFrom(stream, headers.get("X-Attempt-Id"), after + 1);
     } else if (behaviour == Behaviour.TALKATIVE) {
-      exchange.replyRaw(rawResponse(sealed, ownBody()) + "HTTP/1.1 200 OK\r\n\r\nmore");
+      exchange.replyRaw(rawResponse(OK, sealed, ownBody()) + "HTTP/1.1 200 OK\r\n\r\nmore");
     } else {
-      exchange.reply(OK, sealed, ownBody());
+      reply(exchange, headers.get("X-Attempt-Id"), OK, sealed, ownBody());
     }
   }
 
@@ -348,7 +419,7 @@
   private void sendTwoResponses(Exchange exchange, String callId) {
     Map<String, String> other = Map.of("X-Attempt-Id", "other", "X-Response-Seal", "seal-of-other");
     Map<String, String> own = Map.of("X-Attempt-Id", callId, "X-Response-Seal", sealOf(callId));
-    exchange.replyRaw(rawResponse(other, "other answer") + rawResponse(own, ownBody()));
+    exchange.replyRaw(rawResponse(OK, other, "other answer") + rawResponse(OK, own, ownBody()));
   }
 
   private String ownBody() {
@@ -360,8 +431,8 @@
     return "answer of " + instanceId;
   }
 
-  private static String rawResponse(Map<String, String> headers, String body) {
-    StringBuilder response = new StringBuilder("HTTP/1.1 200 OK\r\n");
+  private static String rawResponse(int status, Map<String, String> headers, String body) {
+    StringBuilder response = new StringBuilder("HTTP/1.1 " + status + " Status\r\n");
     headers.forEach((name, value) -> response.append(name + ": " + value + "\r\n"));
     return response.append("Content-Length: " + body.length() + "\r\n\r\n" + body).toString();
   }
--- a/standins/src/main/java/org/galenapost/standins/gateway/StoreContentWriter.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/StoreContentWriter.java
@@ -47,6 +47,7 @@
               "header_timeout_ms", 500L,
               "idle_timeout_ms", 1_500L));
   private long routeTimeoutMs = ROUTE_TIMEOUT_MS;
+  private long latencyTargetMs = 800;
   private Map<String, Object> config = Map.of();
   private long configVersion;
   private long writeCount;
@@ -61,6 +62,11 @@
     limits.put("max_body_bytes", bytes);
   }
 
+  /** Sets the latency target of all routes, starting with the next configuration written. */
+  public void setLatencyTargetMs(long targetMs) {
+    latencyTargetMs = targetMs;
+  }
+
   /** Sets the timeout of all routes, starting with the next configuration written. */
   public void setRouteTimeoutMs(long timeoutMs) {
     routeTimeoutMs = timeoutMs;
@@ -142,7 +148,7 @@
         "path_prefix", prefix,
         "kind", kind,
         "timeout_ms", routeTimeoutMs,
-        "latency_target_ms", 800,
+        "latency_target_ms", latencyTargetMs,
         "service", service,
         "max_attempts", attempts,
         "can_resume", canResume,
--- a/standins/src/main/java/org/galenapost/standins/http/Exchange.java
+++ b/standins/src/main/java/org/galenapost/standins/http/Exchange.java
@@ -102,6 +102,11 @@
     return Optional.ofNullable(headers.get(name));
   }
 
+  /** Returns the id of the connection, which other requests may share. */
+  public String connectionId() {
+    return channel.id().asLongText();
+  }
+
   /** Returns the body as text. */
   public String body() {
     return body;
