Believe another daemon's refusal only if it says that no server ran the call

A daemon that reaches no server hands a call over, and took any answer of the other daemon without a seal and with a 4xx or 503 for its refusal. That may as well be what a server answered after it had run the call: seals on failures are not promised.

A daemon now marks its refusals of handed-over calls and names the call in them; only marked ones count as not run, and a server's own mark is taken off.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/call/CallFormat.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/call/CallFormat.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.vavr.control.Either;
@@ -43,6 +44,9 @@
       OptionalLong resumeAfter,
       Optional<String> resumedStreamId);
 
+  /** Names a call in the headers of a response. */
+  void writeCallId(String callId, HttpHeaders headers);
+
   /** Reads the head of a server's response. */
   ResponseHead readResponseHead(HttpResponse response);
 }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/call/HandoverTickets.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/call/HandoverTickets.java
@@ -18,6 +18,7 @@
 public final class HandoverTickets {
 
   private static final AsciiString HEADER = AsciiString.cached("Galenapost-Handover");
+  private static final AsciiString NOT_RUN_HEADER = AsciiString.cached("Galenapost-Not-Run");
   private static final String ALGORITHM = "HmacSHA256";
   private static final String SEPARATOR = ".";
 
@@ -34,6 +35,26 @@
     headers.set(HEADER, content + SEPARATOR + encode(proof(content)));
   }
 
+  /** Returns whether a request has a ticket, valid or not. */
+  public static boolean isPresent(HttpHeaders headers) {
+    return headers.contains(HEADER);
+  }
+
+  /** States in the response to a handed-over call that no server ran it. */
+  public static void markNotRun(HttpHeaders headers) {
+    headers.set(NOT_RUN_HEADER, "1");
+  }
+
+  /** Removes the statement that no server ran the call, which only a daemon may make. */
+  public static void removeNotRunMark(HttpHeaders headers) {
+    headers.remove(NOT_RUN_HEADER);
+  }
+
+  /** Returns whether the daemon that a call was handed over to states that no server ran it. */
+  public static boolean isMarkedNotRun(HttpHeaders headers) {
+    return headers.contains(NOT_RUN_HEADER);
+  }
+
   /** Removes the ticket from a request and returns it if it is valid for the call. */
   public Optional<HandoverTicket> take(String callId, HttpHeaders headers) {
     String value = headers.get(HEADER);
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/call/ResponseHead.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/call/ResponseHead.java
@@ -36,7 +36,6 @@
 
   private static final int MIN_SUCCESS_STATUS = 200;
   private static final int MIN_REDIRECT_STATUS = 300;
-  private static final int MIN_CLIENT_ERROR_STATUS = 400;
   private static final int MIN_SERVER_ERROR_STATUS = 500;
   private static final int SERVICE_UNAVAILABLE_STATUS = 503;
 
@@ -54,12 +53,6 @@
     return status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS;
   }
 
-  /** Returns whether a daemon refused a call that was handed over to it, so that it did not run. */
-  public boolean isRefusalOfDaemon() {
-    boolean isClientError = status >= MIN_CLIENT_ERROR_STATUS && status < MIN_SERVER_ERROR_STATUS;
-    return !isSigned && (isClientError || status == SERVICE_UNAVAILABLE_STATUS);
-  }
-
   /** Returns the pause that the server asks for in a refusal, if it asks for one. */
   public Optional<Duration> requestedPause() {
     return status == SERVICE_UNAVAILABLE_STATUS ? retryAfter : Optional.empty();
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerConnection.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerConnection.java
@@ -87,6 +87,7 @@
   private void startCall(ChannelHandlerContext context, FullHttpRequest request) {
     hasCallInProgress = true;
     long startNanos = frontend.clock().nanos();
+    RefusalHeaders refusalHeaders = frontend.validator().refusalHeaders(request);
     Either<Refusal, AcceptedCall> accepted =
         frontend.validator().validate(request, ByteBufUtil.getBytes(request.content()), startNanos);
     boolean isMalformed = request.decoderResult().isFailure();
@@ -96,6 +97,7 @@
             accepted.isRight() ? accepted.get().head().id() : frontend.validator().idOf(request),
             !isMalformed && HttpUtil.isKeepAlive(request),
             request.protocolVersion().equals(HttpVersion.HTTP_1_1),
+            refusalHeaders,
             frontend::isDraining,
             staysOpen -> onResponseWritten(context, staysOpen));
     if (accepted.isLeft()) {
@@ -195,6 +197,7 @@
             "-",
             false,
             true,
+            RefusalHeaders.NONE,
             frontend::isDraining,
             staysOpen -> context.close());
     exchange.writeRefusal(refusal);
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerExchange.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerExchange.java
@@ -22,6 +22,7 @@
 import java.util.function.Consumer;
 import org.galenapost.core.json.Json;
 import org.galenapost.core.verdict.Refusal;
+import org.galenapost.daemon.gateway.call.HandoverTickets;
 import org.galenapost.daemon.gateway.call.HopByHopHeaders;
 import org.galenapost.daemon.gateway.call.ResponseHead;
 import org.galenapost.daemon.gateway.run.GatewayResponseWriter;
@@ -34,6 +35,7 @@
   private final String callId;
   private final boolean isKeepAlive;
   private final boolean isChunkedAllowed;
+  private final RefusalHeaders refusalHeaders;
   private final BooleanSupplier isDraining;
   private final Consumer<Boolean> onEnd;
   private boolean mustClose;
@@ -46,6 +48,7 @@
    * @param callId the id shown in problem documents
    * @param isKeepAlive whether the caller keeps the connection open
    * @param isChunkedAllowed whether the caller supports chunked encoding
+   * @param refusalHeaders adds headers to refusals
    * @param isDraining whether the daemon drains, so that connections close after their response
    * @param onEnd receives, once the response is written, whether the connection stays open
    */
@@ -54,19 +57,23 @@
       String callId,
       boolean isKeepAlive,
       boolean isChunkedAllowed,
+      RefusalHeaders refusalHeaders,
       BooleanSupplier isDraining,
       Consumer<Boolean> onEnd) {
     this.channel = channel;
     this.callId = callId;
     this.isKeepAlive = isKeepAlive;
     this.isChunkedAllowed = isChunkedAllowed;
+    this.refusalHeaders = refusalHeaders;
     this.isDraining = isDraining;
     this.onEnd = onEnd;
   }
 
   @Override
   public void writeResponse(ResponseHead head, ByteBuf body) {
-    writeFullResponse(head.status(), HopByHopHeaders.copyWithout(head.headers()), body);
+    HttpHeaders headers = HopByHopHeaders.copyWithout(head.headers());
+    HandoverTickets.removeNotRunMark(headers);
+    writeFullResponse(head.status(), headers, body);
   }
 
   @Override
@@ -78,6 +85,7 @@
     refusal
         .retryAfter()
         .ifPresent(delay -> headers.set(HttpHeaderNames.RETRY_AFTER, toSeconds(delay)));
+    refusalHeaders.add(refusal, headers);
     String document = Json.write(ProblemDocument.of(refusal, callId));
     response.release();
     writeFullResponse(
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/RequestValidator.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/RequestValidator.java
@@ -21,6 +21,7 @@
 import org.galenapost.core.route.TargetService;
 import org.galenapost.core.verdict.Refusal;
 import org.galenapost.core.verdict.RefusalReason;
+import org.galenapost.core.verdict.Verdict;
 import org.galenapost.daemon.gateway.call.CallFormat;
 import org.galenapost.daemon.gateway.call.CallHead;
 import org.galenapost.daemon.gateway.call.HandoverTicket;
@@ -70,6 +71,23 @@
         : format.readCallHead(request).map(CallHead::id).getOrElse(UNKNOWN_ID);
   }
 
+  /**
+   * Returns what the refusals of a request state besides their document. A daemon that hands a call
+   * over goes on only after a refusal that names the call and says that no server ran it.
+   */
+  RefusalHeaders refusalHeaders(HttpRequest request) {
+    if (!HandoverTickets.isPresent(request.headers())) {
+      return RefusalHeaders.NONE;
+    }
+    String callId = idOf(request);
+    return (refusal, headers) -> {
+      format.writeCallId(callId, headers);
+      if (refusal.verdict() == Verdict.NOT_RUN) {
+        HandoverTickets.markNotRun(headers);
+      }
+    };
+  }
+
   /**
    * Validates a request and selects the service for it.
    *
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/Attempt.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/Attempt.java
@@ -7,6 +7,7 @@
 import org.galenapost.core.dispatch.ServerUseTracker;
 import org.galenapost.core.instance.ServerInstance;
 import org.galenapost.core.loss.LossReason;
+import org.galenapost.daemon.gateway.call.HandoverTickets;
 import org.galenapost.daemon.gateway.call.ResponseHead;
 import org.galenapost.daemon.gateway.upstream.ConnectionTrace;
 import org.galenapost.daemon.gateway.upstream.ResponseListener;
@@ -263,7 +264,7 @@
     }
     if (splitter != null) {
       completeStream();
-    } else if (plan.isHandover() ? head.isRefusalOfDaemon() : isRefusalOfServer()) {
+    } else if (plan.isHandover() ? isRefusalOfDaemon() : isRefusalOfServer()) {
       end();
       releaseBody();
       listener.onRefused(this, head);
@@ -275,6 +276,11 @@
     }
   }
 
+  /** A failure that another daemon passes on may be that of a server that ran the call. */
+  private boolean isRefusalOfDaemon() {
+    return !head.isSigned() && HandoverTickets.isMarkedNotRun(head.headers());
+  }
+
   private boolean isRefusalOfServer() {
     return head.isNotRun() || head.isMisdirected();
   }
