Take an answer that names no call for a failure of unknown effect

A server's answer without the id of a call was taken for the answer to the call in progress. A 503 with X-Not-Executed but without an id counted as a refusal, so an unsafe call was sent up to eight times and then refused as not run; a 421 without an id retired the server for good, and with two such answers every later call got 503. Servers return the id in their responses, so that an answer without one proves nothing of this call.

Such an answer now ends its connection, and the call counts as one that may have run: lookups and streams go on elsewhere, an unsafe call ends with 502. GatewayUnprovenRefusalsTest: both cases failed before.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/Attempt.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/Attempt.java
@@ -268,8 +268,8 @@
       end();
       releaseBody();
       listener.onRefused(this, head);
-    } else if (head.isSuccess() && !(head.isSigned() && head.callId().isPresent())) {
-      fail(SendFailure.malformed("successful response lacks the seal or the call id"));
+    } else if (head.isSuccess() && !head.isSigned()) {
+      fail(SendFailure.malformed("successful response lacks the seal"));
     } else {
       end();
       listener.onResponse(this, head, body);
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
@@ -24,8 +24,9 @@
 
 /**
  * One connection to a server. A response that names another call is skipped, and the connection is
- * closed after the response to the current call. Bytes that arrive while no call is in flight close
- * the connection immediately.
+ * closed after the response to the current call. A response that names no call ends the connection,
+ * as it does not tell whether the current call has run. Bytes that arrive while no call is in
+ * flight close the connection immediately.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter implements ServerCall {
 
@@ -129,7 +130,11 @@
       return;
     }
     ResponseHead head = format.readResponseHead(response);
-    if (head.callId().isPresent() && !head.callId().get().equals(callId)) {
+    if (head.callId().isEmpty()) {
+      fail(SendFailure.malformed("an answer with status " + head.status() + " names no call"));
+      return;
+    }
+    if (!head.callId().get().equals(callId)) {
       LOG.info("answer_of_other_call")
           .with("id", callId)
           .with("answered", head.callId().get())
