Bound the bytes of all request bodies that a daemon holds

Nothing bounded the bodies that are read or held until their calls end.

A request without room is refused with 429 as not run, with Retry-After; its body is read and dropped, so that the caller gets the answer.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -393,6 +393,7 @@
       GatewayContext context) {
     metrics.registerGauge("galenapost.requests.in.progress", calls::count);
     metrics.registerGauge("galenapost.caller.connections", frontend::connectionCount);
+    metrics.registerGauge("galenapost.gateway.body.bytes.held", frontend::bodyBytes);
     metrics.registerGauge("galenapost.gateway.instances", directory::size);
     metrics.registerGauge(
         "galenapost.gateway.answer.bytes.held", context.answerBuffers()::totalBytes);
--- /dev/null
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/BodyBudgetHandler.java
@@ -0,0 +1,135 @@
+package org.galenapost.daemon.gateway.front;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Reserves room for the bodies of one connection's requests, until their responses are written. A
+ * body without room is read and dropped, and its request passed on with a {@link
+ * NoRoomForBodyException} as the result of decoding.
+ */
+final class BodyBudgetHandler extends ChannelDuplexHandler {
+
+  private final BodyBudget budget;
+  private final long maxBodyBytes;
+  private final Deque<Long> reservations = new ArrayDeque<>();
+  private HttpRequest current;
+  private long currentBytes;
+  private long declaredBytes;
+  private boolean isDropping;
+
+  /**
+   * Creates the handler of one connection.
+   *
+   * @param budget the room for all bodies
+   * @param maxBodyBytes the largest body; the next handler refuses a larger one
+   */
+  BodyBudgetHandler(BodyBudget budget, long maxBodyBytes) {
+    this.budget = budget;
+    this.maxBodyBytes = maxBodyBytes;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    if (message instanceof HttpRequest request && request.decoderResult().isSuccess()) {
+      isDropping = false;
+      if (HttpUtil.getContentLength(request, 0L) <= maxBodyBytes) {
+        begin(request);
+      }
+    }
+    if (message instanceof HttpContent content && current != null) {
+      reserve(content);
+    }
+    if (isDropping) {
+      drop(context, message);
+      return;
+    }
+    if (message instanceof LastHttpContent) {
+      end();
+    }
+    context.fireChannelRead(message);
+  }
+
+  private void begin(HttpRequest request) {
+    current = request;
+    currentBytes = 0;
+    declaredBytes = HttpUtil.getContentLength(request, 0L);
+    isDropping = !tryReserve(declaredBytes);
+  }
+
+  /** Reserves what exceeds the declared length, as of a body that comes in chunks. */
+  private void reserve(HttpContent content) {
+    long undeclaredBytes = content.content().readableBytes() - declaredBytes;
+    declaredBytes = Math.max(0, -undeclaredBytes);
+    isDropping = isDropping || (undeclaredBytes > 0 && !tryReserve(undeclaredBytes));
+  }
+
+  private boolean tryReserve(long bytes) {
+    boolean isReserved = budget.tryReserve(bytes);
+    if (isReserved) {
+      currentBytes += bytes;
+    }
+    return isReserved;
+  }
+
+  private void drop(ChannelHandlerContext context, Object message) {
+    ReferenceCountUtil.release(message);
+    if (current == null) {
+      return;
+    }
+    boolean isAwaitingContinue = message == current && HttpUtil.is100ContinueExpected(current);
+    if (!(message instanceof LastHttpContent) && !isAwaitingContinue) {
+      return;
+    }
+    FullHttpRequest refused =
+        new DefaultFullHttpRequest(
+            current.protocolVersion(), current.method(), current.uri(), Unpooled.EMPTY_BUFFER);
+    refused.headers().set(current.headers());
+    refused.setDecoderResult(DecoderResult.failure(new NoRoomForBodyException()));
+    budget.release(currentBytes);
+    currentBytes = 0;
+    end();
+    context.fireChannelRead(refused);
+  }
+
+  private void end() {
+    if (current != null) {
+      reservations.addLast(currentBytes);
+      current = null;
+    }
+  }
+
+  @Override
+  public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+    boolean isInterim =
+        message instanceof HttpResponse response
+            && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    if (message instanceof LastHttpContent && !isInterim && !reservations.isEmpty()) {
+      budget.release(reservations.pollFirst());
+    }
+    context.write(message, promise);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    reservations.forEach(budget::release);
+    reservations.clear();
+    budget.release(current == null ? 0 : currentBytes);
+    current = null;
+    context.fireChannelInactive();
+  }
+}
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerFrontend.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerFrontend.java
@@ -47,6 +47,7 @@
   private final DaemonState state;
   private final PendingWork calls;
   private final StreamTakeUp takeUps;
+  private final BodyBudget bodies = new BodyBudget(BodyBudget.MAX_TOTAL_BYTES);
   private final Set<CallerConnection> connections = new HashSet<>();
 
   /**
@@ -86,6 +87,10 @@
             SLOW_READER_TIMEOUT);
     new HttpPipeline(options, () -> {}).setUp(pipeline);
     HeadTimer.addTo(pipeline, HttpPipeline.CODEC_NAME, Duration.ofMillis(limits.headerTimeoutMs()));
+    pipeline.addBefore(
+        HttpPipeline.AGGREGATOR_NAME,
+        "body-budget",
+        new BodyBudgetHandler(bodies, limits.maxBodyBytes()));
     pipeline.channel().config().setRecvByteBufAllocator(readUntilEmpty());
     pipeline.addLast("gateway", new CallerConnection(this));
   }
@@ -120,6 +125,11 @@
     return connections.size();
   }
 
+  /** Returns the bytes of all request bodies that are read or held. */
+  public long bodyBytes() {
+    return bodies.reservedBytes();
+  }
+
   /** Closes the connections on which no call is in progress. */
   public void closeIdleConnections() {
     List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/RequestValidator.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/RequestValidator.java
@@ -33,6 +33,10 @@
 public final class RequestValidator {
 
   private static final Duration RETRY_AFTER = Duration.ofMillis(300);
+
+  /** Time for some of the calls to end whose bodies are held. */
+  private static final Duration BODY_RETRY_AFTER = Duration.ofSeconds(1);
+
   private static final String UNKNOWN_ID = "-";
 
   /** A double holds 53 bits of a hash exactly. */
@@ -128,6 +132,11 @@
   }
 
   private static Refusal malformed(Throwable cause) {
+    if (cause instanceof NoRoomForBodyException) {
+      return Refusal.notRun(
+              RefusalReason.QUEUE_FULL, "Requests in progress leave no room for the body.")
+          .withRetryAfter(BODY_RETRY_AFTER);
+    }
     boolean isTooLong =
         cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
     return isTooLong
--- a/daemon/src/main/java/org/galenapost/daemon/http/HttpPipeline.java
+++ b/daemon/src/main/java/org/galenapost/daemon/http/HttpPipeline.java
@@ -9,6 +9,9 @@
   /** The name of the HTTP codec in the pipeline. */
   public static final String CODEC_NAME = "codec";
 
+  /** The name of the handler that aggregates requests. */
+  public static final String AGGREGATOR_NAME = "aggregator";
+
   private final ListenerOptions options;
   private final ConnectionLimiter limiter;
 
@@ -32,7 +35,7 @@
   public void setUp(ChannelPipeline pipeline) {
     pipeline.addLast(CODEC_NAME, new StrictServerCodec(decoderConfig()));
     pipeline.addLast("slow-caller-guard", new SlowCallerGuard(options));
-    pipeline.addLast("aggregator", new RequestAggregator(options.maxBodyBytes()));
+    pipeline.addLast(AGGREGATOR_NAME, new RequestAggregator(options.maxBodyBytes()));
   }
 
   private HttpDecoderConfig decoderConfig() {
--- /dev/null
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/front/BodyBudgetHandlerTest.java
@@ -0,0 +1,110 @@
+package org.galenapost.daemon.gateway.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Bodies of requests that come faster than their calls end. */
+class BodyBudgetHandlerTest {
+
+  private static final int MAX_BYTES = 1_000;
+
+  private final BodyBudget budget = new BodyBudget(MAX_BYTES);
+  private final EmbeddedChannel first =
+      new EmbeddedChannel(new BodyBudgetHandler(budget, MAX_BYTES));
+  private final EmbeddedChannel second =
+      new EmbeddedChannel(new BodyBudgetHandler(budget, MAX_BYTES));
+
+  @AfterEach
+  void close() {
+    first.finishAndReleaseAll();
+    second.finishAndReleaseAll();
+    assertThat(budget.reservedBytes()).isZero();
+  }
+
+  @Test
+  void dropsBodyForWhichOthersLeaveNoRoom() {
+    send(first, 800);
+    send(second, 300);
+
+    assertThat(first.inboundMessages()).hasSize(2);
+    assertThat(second.inboundMessages()).hasSize(1);
+    FullHttpRequest refused = second.readInbound();
+    assertThat(refused.decoderResult().cause()).isInstanceOf(NoRoomForBodyException.class);
+    assertThat(refused.content().isReadable()).isFalse();
+  }
+
+  @Test
+  void keepsBodyOnceAnEarlierCallHasEnded() {
+    send(first, 800);
+    first.writeOutbound(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK));
+
+    send(second, 300);
+
+    assertThat(second.inboundMessages()).hasSize(2);
+  }
+
+  @Test
+  void keepsBodyOnceAnEarlierCallerHasLeft() {
+    send(first, 800);
+    first.close();
+
+    send(second, 1_000);
+
+    assertThat(second.inboundMessages()).hasSize(2);
+  }
+
+  @Test
+  void dropsRestOfChunkedBodyThatOutgrowsTheRoom() {
+    HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/a");
+    request.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    first.writeInbound(request);
+    for (int i = 0; i < 3; i++) {
+      first.writeInbound(new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[400])));
+    }
+    first.writeInbound(new DefaultLastHttpContent());
+
+    List<Object> messages = List.copyOf(first.inboundMessages());
+    FullHttpRequest refused = (FullHttpRequest) messages.get(messages.size() - 1);
+    assertThat(refused.decoderResult().cause()).isInstanceOf(NoRoomForBodyException.class);
+    assertThat(budget.reservedBytes()).isZero();
+  }
+
+  @Test
+  void refusesAtOnceRequestThatWaitsForLeaveToSendItsBody() {
+    send(first, 800);
+    HttpRequest request = head(300);
+    request.headers().set(HttpHeaderNames.EXPECT, HttpHeaderValues.CONTINUE);
+
+    second.writeInbound(request);
+
+    FullHttpRequest refused = second.readInbound();
+    assertThat(refused.decoderResult().cause()).isInstanceOf(NoRoomForBodyException.class);
+  }
+
+  private static HttpRequest head(int bodyBytes) {
+    HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/a");
+    request.headers().set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(bodyBytes));
+    return request;
+  }
+
+  private static void send(EmbeddedChannel channel, int bodyBytes) {
+    channel.writeInbound(head(bodyBytes));
+    channel.writeInbound(new DefaultLastHttpContent(Unpooled.wrappedBuffer(new byte[bodyBytes])));
+  }
+}
