--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -172,11 +172,7 @@
     services.add(registration);
     metrics.registerGauge("galenapost.peers.live", () -> membership.liveIds().size());
     services.add(Service.of("configuration", follower::start, follower::stop));
-    StreamOriginWiring streams =
-        new StreamOriginWiring(
-            settings, bus, store, directory, routes, follower, reachability, scheduler, clock);
-    streams.addGauges(metrics);
-    services.addAll(streams.services());
+    StreamOriginWiring streams = streamOriginWiring(directory, routes, follower, reachability);
     GatewayContext context = gatewayContext(directory, cells, streams, stallGuard, state);
     Supplier<Optional<RouteTable>> routesInForce =
         () -> follower.isReady() ? routes.current() : Optional.empty();
@@ -319,6 +315,19 @@
         liveDaemonCount);
   }
 
+  private StreamOriginWiring streamOriginWiring(
+      InstanceDirectory directory,
+      RouteTableHolder routes,
+      ConfigurationFollower follower,
+      PlatformReachability reachability) {
+    StreamOriginWiring streams =
+        new StreamOriginWiring(
+            settings, bus, store, directory, routes, follower, reachability, scheduler, clock);
+    streams.addGauges(metrics);
+    services.addAll(streams.services());
+    return streams;
+  }
+
   private ServerStateWiring serverStateWiring(
       InstanceDirectory directory, FleetCells cells, CellBus cellBus) {
     ServerStateWiring servers =
