Fill servers at random in the soak, and let them send late copies of answers

The soak had no server that is full, and none that sends the second copy of an answer, so that it could not find the cause of REFUSED and TWICE.

--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/GatewaySoak.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/GatewaySoak.java
@@ -30,6 +30,8 @@
   private static final int MAX_FAULT_MS = 2_500;
   private static final int PLANNED_ACTIONS_PER_PHASE = 5;
   private static final long RESTORE_SEED_FACTOR = 31;
+  private static final long FULL_SERVERS_SEED_FACTOR = 37;
+  private static final double MAX_LATE_COPY_SHARE = 0.3;
 
   /** Starting or ending a fault takes milliseconds, so a few threads keep the schedule. */
   private static final int SCHEDULER_THREADS = 4;
@@ -83,6 +85,7 @@
       executor.execute(this::watchForStalls);
       for (int round = 0; round < options.rounds(); round++) {
         scheduleRestore(soakFaults, round);
+        scheduleFullServers(soakFaults, round);
         runFaultPhase(soakFaults);
         pause(SETTLE_TIME);
         runPlannedWorkPhase(soakFaults);
@@ -166,6 +169,19 @@
     schedule(delayMs, () -> soakFaults.restoreStore(restoreRandom));
   }
 
+  /** Draws from a source of its own, as the restore does. */
+  private void scheduleFullServers(SoakFaults soakFaults, int round) {
+    Random ownRandom = new Random(options.seed() * FULL_SERVERS_SEED_FACTOR + round);
+    double copyShare = MAX_LATE_COPY_SHARE * ownRandom.nextDouble();
+    int delayMs = ownRandom.nextInt((int) SoakOptions.FAULT_PHASE.toMillis() - MAX_FAULT_MS);
+    schedule(
+        delayMs,
+        () -> {
+          Runnable end = soakFaults.fillServers(copyShare);
+          schedule(MAX_FAULT_MS, end);
+        });
+  }
+
   private void beginFault(SoakFaults soakFaults, Fault fault, int durationMs, Random ownRandom) {
     faultCount.incrementAndGet();
     Runnable endFault = soakFaults.begin(fault, ownRandom);
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFaults.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFaults.java
@@ -27,6 +27,7 @@
   private static final List<Behaviour> SERVER_FAULTS =
       List.copyOf(EnumSet.range(Behaviour.FAILING, Behaviour.DYING_IN_STREAM));
 
+  private static final double REFUSAL_SHARE = 0.6;
   private static final int MAX_LINK_DELAY_MS = 400;
   private static final int MAX_COPY_AGE_MS = 2_500;
   private static final int MAX_REWRITE_DELAY_MS = 1_000;
@@ -172,6 +173,28 @@
     return server::replace;
   }
 
+  /**
+   * Makes all servers full at random, and send some of their answers a second time, late.
+   *
+   * @param copyShare the share of answers that are sent twice
+   * @return the action that ends it
+   */
+  Runnable fillServers(double copyShare) {
+    return withDisturbance(
+        Disturbances.SERVERS,
+        () -> {
+          fillServers(REFUSAL_SHARE, copyShare);
+          return () -> fillServers(0, 0);
+        });
+  }
+
+  private void fillServers(double refusalShare, double copyShare) {
+    for (SoakServer server : fleet.servers()) {
+      server.currentInstance().setRefusalShare(refusalShare);
+      server.currentInstance().setLateCopyShare(copyShare);
+    }
+  }
+
   /** Restores the store from a copy of some age; what was written since is written again later. */
   void restoreStore(Random random) {
     Duration age = Duration.ofMillis(random.nextInt(MAX_COPY_AGE_MS));
--- a/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.galenapost.standins.Standin;
@@ -50,7 +51,8 @@
   private volatile Optional<String> serverLimit = Optional.empty();
   private volatile Optional<String> brittleness = Optional.empty();
   private volatile boolean isLeaving;
-  private volatile boolean sendsLateCopies;
+  private volatile double refusalShare;
+  private volatile double lateCopyShare;
   private volatile boolean namesCalls = true;
   private volatile boolean sealsFailures = true;
   private volatile int failureStatus = INTERNAL_SERVER_ERROR;
@@ -220,12 +222,17 @@
     remainingFailures.set(count);
   }
 
+  /** Sets the share of calls that the server rejects with status 503 without running them. */
+  public void setRefusalShare(double share) {
+    refusalShare = share;
+  }
+
   /**
-   * Makes the server send each of its responses that is no stream a second time, late: before its
-   * response to the next request on the connection.
+   * Sets the share of its responses, other than streams, that the server sends a second time, late:
+   * before its response to the next request on the connection.
    */
-  public void sendLateCopies() {
-    sendsLateCopies = true;
+  public void setLateCopyShare(double share) {
+    lateCopyShare = share;
   }
 
   /** Makes the server leave the id of the call out of its refusals and failures. */
@@ -325,11 +332,15 @@
       return;
     }
     boolean lacksKvBackup = headers.containsKey("Kv-From") && !kvBackupIds.contains(callId);
-    boolean isRefusal = takeOne(remainingRefusals);
+    boolean isRefusal = takeOne(remainingRefusals) || isDrawn(refusalShare);
     if (behaviour == Behaviour.FULL || lacksKvBackup || isRefusal) {
       reply(exchange, callId, SERVICE_UNAVAILABLE, Map.of("X-Not-Executed", "1"), "");
       return;
     }
+    run(exchange, callId, headers);
+  }
+
+  private void run(Exchange exchange, String callId, Map<String, String> headers) {
     runs.add(
         new Run(
             callId,
@@ -350,6 +361,10 @@
             TimeUnit.MILLISECONDS);
   }
 
+  private static boolean isDrawn(double share) {
+    return ThreadLocalRandom.current().nextDouble() < share;
+  }
+
   private static boolean takeOne(AtomicInteger remaining) {
     return remaining.getAndUpdate(left -> Math.max(0, left - 1)) > 0;
   }
@@ -357,7 +372,7 @@
   private void reply(
       Exchange exchange, String callId, int status, Map<String, String> headers, String body) {
     exchange.reply(status, headers, body);
-    if (sendsLateCopies) {
+    if (isDrawn(lateCopyShare)) {
       Map<String, String> copied = new TreeMap<>(headers);
       copied.put("X-Attempt-Id", callId);
       lateCopies.put(exchange.connectionId(), rawResponse(status, copied, body));
