Send resumed streams ahead of new ones

A stream that goes on after a loss within an answer was urgent already, one that its caller resumes was not.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/Sender.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/Sender.java
@@ -21,7 +21,9 @@
 
   private static final long NANOS_PER_MS = 1_000_000;
   private static final int DEFAULT_URGENCY = 5;
-  private static final int RETRY_URGENCY = 2;
+
+  /** The reader of a stream that goes on has waited already and has little time left. */
+  private static final int RESUMPTION_URGENCY = 2;
 
   /** Engines rank requests from 0, the most urgent, to 9, the least urgent. */
   private static final int LOWEST_URGENCY = 9;
@@ -183,8 +185,11 @@
   }
 
   private SendOptions options(SendPlan plan, boolean isRetry) {
+    boolean isResumption = isRetry || call.head().resumeAfter().isPresent();
     int urgency =
-        isRetry ? RETRY_URGENCY : Math.min(LOWEST_URGENCY, DEFAULT_URGENCY + call.priority());
+        isResumption
+            ? RESUMPTION_URGENCY
+            : Math.min(LOWEST_URGENCY, DEFAULT_URGENCY + call.priority());
     return new SendOptions(
         plan.instance().id(),
         remainingMs(),
