Take a start for the first one only if the daemon has no entry in the store

Streams could be joined from two software versions after all daemons were lost while their settings still said first_start and the store held no records: each daemon that came back took the empty store for a proof that no stream had begun before, and let streams of unknown origin go on (ORDER).

A daemon now counts as started for the first time only if the settings say so, there are no records, and its registration creates its entry in the store. Entries of stopped daemons stay there, and daemons of earlier builds write them too, so an entry that exists shows an earlier life. The entry costs no further call.

Not covered: a store restored from a copy that is older than all entries, with all daemons lost at the same time. Whether the users' platform leaves the setting true at a restart was not seen.

--- a/core/src/main/java/org/galenapost/core/origin/OriginRecords.java
+++ b/core/src/main/java/org/galenapost/core/origin/OriginRecords.java
@@ -52,7 +52,6 @@
   private final Scheduler scheduler;
   private final MonotonicClock clock;
   private final VersionHistory history;
-  private final boolean isFirstStart;
   private final StreamOrigins origins;
   private final StreamsInProgress streams;
   private final Listener listener;
@@ -65,6 +64,8 @@
   private long lastWriteNanos;
   private long lastReadNanos;
   private long writeCount;
+  private boolean isFirstStart;
+  private boolean wereThereNoRecords;
   private boolean hasRead;
   private boolean isReading;
   private boolean isWriting;
@@ -79,7 +80,6 @@
    * @param scheduler runs the periodic writes
    * @param clock measures the time between writes
    * @param history the versions at which streams may have begun
-   * @param isFirstStart whether no daemon of this deployment has run before
    * @param origins learns the origins that are read
    * @param listener is told what was read and which writes failed
    */
@@ -90,7 +90,6 @@
       Scheduler scheduler,
       MonotonicClock clock,
       VersionHistory history,
-      boolean isFirstStart,
       StreamOrigins origins,
       Listener listener) {
     this.daemonId = daemonId;
@@ -99,7 +98,6 @@
     this.scheduler = scheduler;
     this.clock = clock;
     this.history = history;
-    this.isFirstStart = isFirstStart;
     this.origins = origins;
     this.streams = new StreamsInProgress(clock);
     this.listener = listener;
@@ -220,12 +218,28 @@
         noteOwner(object, earlier);
       }
     }
-    if (isFirstRead && listing.objects().isEmpty() && isFirstStart) {
-      history.beginWithoutEarlierDaemons();
+    if (isFirstRead) {
+      wereThereNoRecords = listing.objects().isEmpty();
+      beginIfFirstStart();
     }
     listener.onRead(listing.objects().size(), streamCount, history.isComplete());
   }
 
+  /**
+   * Records that no daemon has run before. It holds only if the store has no records of an earlier
+   * one.
+   */
+  public void confirmFirstStart() {
+    isFirstStart = true;
+    beginIfFirstStart();
+  }
+
+  private void beginIfFirstStart() {
+    if (isFirstStart && wereThereNoRecords) {
+      history.beginWithoutEarlierDaemons();
+    }
+  }
+
   private void noteOwner(VersionedObject object, OriginRecord earlier) {
     if (object.key().name().equals(daemonId)) {
       written = earlier;
--- a/core/src/test/java/org/galenapost/core/origin/OriginRecordsTest.java
+++ b/core/src/test/java/org/galenapost/core/origin/OriginRecordsTest.java
@@ -28,6 +28,7 @@
   private static final Duration MAX_STREAM_AGE = Duration.ofSeconds(50);
   private static final Duration CALLER_TIME = Duration.ofSeconds(20);
   private static final Duration SETTLING_TIME = Duration.ofSeconds(4);
+  private static final String INCOMPLETE_RECORD = Json.write(OriginRecord.EMPTY);
   private static final StreamOrigin OLD = new StreamOrigin("pool", "v1");
   private static final StreamOrigin NEW = new StreamOrigin("pool", "v2");
 
@@ -230,6 +231,27 @@
     assertThat(versionsSeenBy(daemons.get(0))).containsExactly("v2");
   }
 
+  @Test
+  void isNotCertainUntilTheStartIsKnownToBeTheFirst() {
+    isFirstStart = false;
+    start(1);
+    OriginRecords records = daemons.get(0).records;
+    assertThat(records.history().isComplete()).isFalse();
+
+    records.confirmFirstStart();
+
+    assertThat(records.history().isComplete()).isTrue();
+  }
+
+  @Test
+  void isNotTheFirstStartWhenAnEarlierDaemonLeftRecords() {
+    platform.newClient().put(new ObjectKey(OriginRecords.KIND, "d7"), 0, INCOMPLETE_RECORD);
+
+    start(1);
+
+    assertThat(daemons.get(0).records.history().isComplete()).isFalse();
+  }
+
   private void start(int count) {
     for (int i = 0; i < count; i++) {
       daemons.add(new Daemon("d" + i, false));
@@ -308,10 +330,12 @@
               time,
               new VersionHistory(
                   directory, time, () -> MAX_STREAM_AGE, () -> true, () -> isStoreReachable),
-              isFirstStart,
               origins,
               new SilentListener());
       records.start();
+      if (isFirstStart) {
+        records.confirmFirstStart();
+      }
       keepDirectoryClean();
     }
 
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -173,6 +173,9 @@
     metrics.registerGauge("galenapost.peers.live", () -> membership.liveIds().size());
     services.add(Service.of("configuration", follower::start, follower::stop));
     StreamOriginWiring streams = streamOriginWiring(directory, routes, follower, reachability);
+    if (settings.platform().isFirstStart()) {
+      registration.setOnFirstRegistration(streams.records()::confirmFirstStart);
+    }
     GatewayContext context = gatewayContext(directory, cells, streams, stallGuard, state);
     Supplier<Optional<RouteTable>> routesInForce =
         () -> follower.isReady() ? routes.current() : Optional.empty();
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/RegistrationController.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/RegistrationController.java
@@ -43,6 +43,7 @@
   private final RandomSource random;
   private volatile boolean isRunning;
   private boolean isConflictRetried;
+  private Runnable onFirstRegistration = () -> {};
   private volatile int otherDaemonCount = Integer.MAX_VALUE;
 
   RegistrationController(
@@ -93,6 +94,14 @@
     return otherDaemonCount;
   }
 
+  /**
+   * Sets the action that runs if the store holds no entry of an earlier process of this daemon when
+   * it registers for the first time.
+   */
+  void setOnFirstRegistration(Runnable action) {
+    onFirstRegistration = action;
+  }
+
   private void registerOwnAddress(long expectedVersion) {
     if (!isRunning) {
       return;
@@ -111,12 +120,16 @@
 
   private void onRegistered(Either<PlatformError, VersionedObject> result) {
     if (result.isRight()) {
+      takeFirstRegistration().run();
       isConflictRetried = false;
       LOG.info("daemon_registered").with("version", result.get().version()).write();
       listDaemons();
       return;
     }
     Optional<VersionedObject> current = currentOf(result.getLeft());
+    if (current.isPresent()) {
+      takeFirstRegistration();
+    }
     if (current.isPresent() && current.get().json().equals(ownEntry())) {
       listDaemons();
     } else if (current.isPresent() && !isConflictRetried) {
@@ -129,6 +142,12 @@
     }
   }
 
+  private Runnable takeFirstRegistration() {
+    Runnable action = onFirstRegistration;
+    onFirstRegistration = () -> {};
+    return action;
+  }
+
   private static Optional<VersionedObject> currentOf(PlatformError error) {
     return error instanceof PlatformError.Conflict conflict ? conflict.current() : Optional.empty();
   }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/StreamOriginWiring.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/StreamOriginWiring.java
@@ -59,7 +59,6 @@
             scheduler,
             clock,
             history,
-            settings.platform().isFirstStart(),
             origins,
             new OriginRecordLog());
   }
