Learn versions from the streams that daemons recorded

Three daemons record which versions are in service. If these could not write while others could, as when the store refuses some machines, their records still said that one version was all there was. After a loss of all daemons a stream of the version that nobody had recorded could go on at the other one (ORDER): a record that was not brought up to date, read as complete.

The streams that each daemon records name their versions, so a daemon that starts takes these as in service too. So that versions of long ago do not come back this way, a daemon rewrites its record once all its streams are those of services with a single version; that is one write after each release.

Not covered: no daemon can write at all between the release and the loss.

--- a/core/src/main/java/org/galenapost/core/origin/OriginRecords.java
+++ b/core/src/main/java/org/galenapost/core/origin/OriginRecords.java
@@ -261,12 +261,19 @@
     boolean isOutdated =
         !current.hasSameVersions(written)
             || !written.streamIds().containsAll(current.streamIds())
-            || isLostByRestore();
+            || isLostByRestore()
+            || namesOnlyEndedStreams(written);
     if (isOutdated && !isWriting) {
       write(current);
     }
   }
 
+  /** The versions that began them would count as in service after a loss of all daemons. */
+  private boolean namesOnlyEndedStreams(OriginRecord record) {
+    Set<String> services = record.streams().keySet();
+    return !services.isEmpty() && services.stream().noneMatch(history::needsRecords);
+  }
+
   private boolean isLostByRestore() {
     return writtenVersion != ObjectStore.ABSENT && history.era() > StoreVersion.era(writtenVersion);
   }
--- a/core/src/main/java/org/galenapost/core/origin/VersionHistory.java
+++ b/core/src/main/java/org/galenapost/core/origin/VersionHistory.java
@@ -50,6 +50,9 @@
   /** Takes over what an earlier daemon has recorded, as if its servers had run until now. */
   void inherit(OriginRecord earlier) {
     earlier.versions().forEach(directory::recordVersions);
+    earlier
+        .streams()
+        .forEach((service, byVersion) -> directory.recordVersions(service, byVersion.keySet()));
     isInherited |= earlier.isComplete();
   }
 
--- a/core/src/test/java/org/galenapost/core/origin/OriginRecordsTest.java
+++ b/core/src/test/java/org/galenapost/core/origin/OriginRecordsTest.java
@@ -231,6 +231,41 @@
     assertThat(versionsSeenBy(daemons.get(0))).containsExactly("v2");
   }
 
+  /** The record of a daemon that cannot write stays complete, but names too few versions. */
+  @Test
+  void knowsVersionOfRecordedStreamsThatTheRecordersOfVersionsCouldNotWrite() {
+    start(9);
+    daemons.stream()
+        .filter(daemon -> recordOf(daemon.id).isPresent())
+        .forEach(recorder -> recorder.store.setDown(true));
+    release("v2");
+    beginStreams();
+    time.advance(OriginRecords.WRITE_PERIOD);
+    versionsInService.remove("v2");
+
+    restartAll();
+
+    assertThat(versionsSeenBy(daemons.get(0))).containsExactlyInAnyOrder("v1", "v2");
+  }
+
+  @Test
+  void forgetsStreamsOnceTheirServiceRunsOneVersionAgain() {
+    start(9);
+    release("v2");
+    beginStreams();
+    time.advance(OriginRecords.WRITE_PERIOD);
+    versionsInService.remove("v1");
+    daemons.forEach(daemon -> daemon.directory.applyChange(removal("v1")));
+    time.advance(MAX_STREAM_AGE.plus(SETTLING_TIME));
+    int writesBefore = platform.writes();
+    time.advance(SETTLING_TIME);
+
+    restartAll();
+
+    assertThat(platform.writes()).isEqualTo(writesBefore);
+    assertThat(versionsSeenBy(daemons.get(0))).containsExactly("v2");
+  }
+
   @Test
   void isNotCertainUntilTheStartIsKnownToBeTheFirst() {
     isFirstStart = false;
