Decide in one place whether the connection of an answer was broken

BrokenConnectionGuard, behind the HTTP codec of every client, tells the two apart: a failed read or write breaks the connection, and the end that the decoder then makes up is dropped; a regular end completes the answer, also an early one. It replaces the special case in ServerConnection and serves connections to servers and to daemons that calls are handed over to, to the store, and to services of the own interface.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
@@ -50,7 +50,6 @@
   private boolean hasHead;
   private boolean isResponseSkipped;
   private boolean isReusable;
-  private boolean isBodyDelimited;
   private boolean isComplete;
   private Duration idleLimit = DEFAULT_IDLE_LIMIT;
   private long idleSinceNanos;
@@ -155,7 +154,7 @@
   }
 
   private void updateReusability(HttpResponse response) {
-    isBodyDelimited =
+    boolean isBodyDelimited =
         HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
     isReusable = isReusable && isBodyDelimited && HttpUtil.isKeepAlive(response);
     String keepAlive = response.headers().get("Keep-Alive", "");
@@ -207,11 +206,6 @@
   }
 
   private void complete() {
-    if (!isBodyDelimited && !requestWrite.isSuccess()) {
-      // A reset that shows in the write of the request ends the body like a regular close.
-      fail(SendFailure.closed("the connection ended while the request was being written"));
-      return;
-    }
     ResponseListener completedListener = listener;
     listener = null;
     isComplete = false;
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
@@ -23,6 +23,7 @@
 import org.galenapost.core.instance.ServerInstance;
 import org.galenapost.core.time.MonotonicClock;
 import org.galenapost.daemon.gateway.call.CallFormat;
+import org.galenapost.daemon.net.BrokenConnectionGuard;
 import org.galenapost.daemon.net.KeepAliveProbes;
 import org.galenapost.daemon.service.Service;
 
@@ -192,6 +193,7 @@
       protected void initChannel(Channel channel) {
         connection.attach(channel);
         channel.pipeline().addLast(new HttpClientCodec(DECODER, false, false), connection);
+        BrokenConnectionGuard.addTo(channel);
       }
     };
   }
--- a/daemon/src/main/java/org/galenapost/daemon/net/HttpClients.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/HttpClients.java
@@ -49,6 +49,7 @@
             .setMaxRequestRetry(0)
             .setFollowRedirect(false)
             .setCookieStore(null)
+            .setHttpAdditionalChannelInitializer(BrokenConnectionGuard::addTo)
             .setDisableUrlEncodingForBoundRequests(true)
             .build());
   }
--- /dev/null
+++ b/daemon/src/test/java/org/galenapost/daemon/platform/PlatformHttpClientTest.java
@@ -0,0 +1,71 @@
+package org.galenapost.daemon.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.asynchttpclient.Response;
+import org.galenapost.core.platform.PlatformCircuitBreaker;
+import org.galenapost.core.platform.PlatformError;
+import org.galenapost.core.time.MonotonicClock;
+import org.galenapost.daemon.net.EventLoops;
+import org.galenapost.daemon.settings.PlatformSettings;
+import org.galenapost.daemon.settings.SocketAddressSetting;
+import org.junit.jupiter.api.Test;
+
+class PlatformHttpClientTest {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration RESET_DELAY = Duration.ofMillis(100);
+  private static final int FIRST_BYTES = 16;
+
+  /** The end of a connection also ends an answer without a length, but a reset breaks it off. */
+  @Test
+  void doesNotTakeAnswerWithoutLengthForWholeIfItsConnectionIsReset() throws Exception {
+    EventLoops eventLoops = new EventLoops(1);
+    try (ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      PlatformHttpClient client = client(eventLoops, socket.getLocalPort());
+      CompletableFuture<Void> server = CompletableFuture.runAsync(() -> answerHalfAndReset(socket));
+
+      Either<PlatformError, Response> result =
+          client
+              .call(client.request("GET", "/objects/servers"))
+              .toCompletableFuture()
+              .get(2 * TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+
+      assertThat(result.getLeft()).isInstanceOf(PlatformError.AnswerLost.class);
+      server.join();
+      client.stop();
+    } finally {
+      eventLoops.stop();
+    }
+  }
+
+  private static PlatformHttpClient client(EventLoops eventLoops, int port) {
+    PlatformSettings settings =
+        new PlatformSettings(new SocketAddressSetting("127.0.0.1", port), TIMEOUT, TIMEOUT, false);
+    return new PlatformHttpClient(
+        settings, new PlatformCircuitBreaker(MonotonicClock.system()), eventLoops.group());
+  }
+
+  private static void answerHalfAndReset(ServerSocket socket) {
+    try (Socket connection = socket.accept()) {
+      connection.getInputStream().readNBytes(FIRST_BYTES);
+      connection
+          .getOutputStream()
+          .write("HTTP/1.1 200 OK\r\n\r\n{\"entries\":[".getBytes(StandardCharsets.US_ASCII));
+      await().pollDelay(RESET_DELAY).until(() -> true);
+      connection.setSoLinger(true, 0);
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- a/daemon/src/test/java/org/galenapost/daemon/relay/ServiceClientTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/relay/ServiceClientTest.java
@@ -1,6 +1,7 @@
 package org.galenapost.daemon.relay;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
 
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import java.io.BufferedReader;
@@ -24,11 +25,15 @@
 import org.galenapost.daemon.net.HttpClients;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class ServiceClientTest {
 
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
   private static final int MAX_ANSWER_BYTES = 1_024;
+  private static final int FIRST_BYTES = 16;
+  private static final Duration RESET_DELAY = Duration.ofMillis(100);
 
   private final EventLoops eventLoops = new EventLoops(1);
   private final HttpClients clients = new HttpClients(eventLoops.group(), TIMEOUT);
@@ -51,23 +56,51 @@
     }
   }
 
+  /** The end of a connection also ends an answer without a length, but a reset breaks it off. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 4_000_000})
+  void doesNotTakeAnswerWithoutLengthForWholeIfItsConnectionIsReset(int requestBytes)
+      throws Exception {
+    try (ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      startThread(() -> answerHalfAndReset(socket));
+
+      assertThat(outcomeOf(socket.getLocalPort(), "/1", new byte[requestBytes]))
+          .isInstanceOf(ServiceOutcome.Failed.class);
+    }
+  }
+
+  private static void answerHalfAndReset(ServerSocket socket) throws IOException {
+    try (Socket connection = socket.accept()) {
+      connection.getInputStream().readNBytes(FIRST_BYTES);
+      connection
+          .getOutputStream()
+          .write("HTTP/1.1 200 OK\r\n\r\nhalf of".getBytes(StandardCharsets.US_ASCII));
+      await().pollDelay(RESET_DELAY).until(() -> true);
+      connection.setSoLinger(true, 0);
+    }
+  }
+
   private String answerOf(int port, String uri) throws Exception {
+    ServiceOutcome received = outcomeOf(port, uri, new byte[0]);
+    return received instanceof ServiceOutcome.Answered answered
+        ? new String(answered.answer().body(), StandardCharsets.UTF_8)
+        : received.toString();
+  }
+
+  private ServiceOutcome outcomeOf(int port, String uri, byte[] body) throws Exception {
     CompletableFuture<ServiceOutcome> outcome = new CompletableFuture<>();
     ServiceRequest request =
         new ServiceRequest(
             service(port),
-            "GET",
+            body.length == 0 ? "GET" : "POST",
             uri,
             EmptyHttpHeaders.INSTANCE,
-            new byte[0],
+            body,
             "r1",
             Optional.empty(),
             TIMEOUT);
     client.send(request, () -> true, outcome::complete);
-    ServiceOutcome received = outcome.get(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
-    return received instanceof ServiceOutcome.Answered answered
-        ? new String(answered.answer().body(), StandardCharsets.UTF_8)
-        : received.toString();
+    return outcome.get(2 * TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   private static BackendServer service(int port) {
