Reset the connection of an answer without a length that is broken off

A caller of HTTP/1.0 gets a stream without chunks, whose end is that of the connection.

While such an answer is written, its socket is set to be reset on close; it is set back once the last part has left. So the reset comes whoever closes the socket, the kernel at the end of the process included.

GatewayUndelimitedAnswersTest: a server that breaks off a stream, and a daemon that stops, failed before; a whole stream ends regularly before and after.

--- a/daemon/src/main/java/org/galenapost/daemon/http/HttpPipeline.java
+++ b/daemon/src/main/java/org/galenapost/daemon/http/HttpPipeline.java
@@ -34,6 +34,7 @@
   @Override
   public void setUp(ChannelPipeline pipeline) {
     pipeline.addLast(CODEC_NAME, new StrictServerCodec(decoderConfig()));
+    pipeline.addLast("undelimited-answer-guard", new UndelimitedAnswerGuard());
     pipeline.addLast("slow-caller-guard", new SlowCallerGuard(options));
     pipeline.addLast(AGGREGATOR_NAME, new RequestAggregator(options.maxBodyBytes()));
   }
