--- a/standins/src/main/java/org/galenapost/standins/gateway/StoreStandin.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/StoreStandin.java
@@ -57,6 +57,7 @@
   private int pageSize = 500;
   private int callCount;
   private Mode mode = Mode.SERVING;
+  private Runnable betweenPages = () -> {};
 
   /** How the store handles calls. */
   public enum Mode {
@@ -141,6 +142,12 @@
     server.runOnEventLoop(() -> pageSize = objectsPerPage);
   }
 
+  /** Writes an object after the first page of the next listing that has several. */
+  public void writeBetweenPages(String kind, String name, Object spec) {
+    JsonNode json = Json.newMapper().valueToTree(spec);
+    server.runOnEventLoop(() -> betweenPages = () -> put(kind, name, json));
+  }
+
   /**
    * Discards the history; watches from earlier revisions then get status 410 and must list again.
    */
@@ -286,6 +293,10 @@
     page.putArray("entries").addAll(rest.subList(0, Math.min(pageSize, rest.size())));
     page.put("more", rest.size() > pageSize).put("as_of", revision);
     exchange.replyOk(page);
+    if (rest.size() > pageSize) {
+      betweenPages.run();
+      betweenPages = () -> {};
+    }
   }
 
   private void addWatch(Watch watch, long waitMs) {
