Compute what request bodies may hold from the heap

Parts of bodies are copied to the heap as they are read: they lay in direct memory, of which there was little more than the bodies were allowed to take. Direct memory may grow with the bodies that are on their way to servers. The refusal is a 503 of its own kind, body-memory-full, instead of queue-full.

Bounds of answers: 16 MiB before, an eighth of the heap now.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -313,7 +313,7 @@
         partQuarantine,
         stallGuard,
         servers.paces(),
-        new BufferBudget(),
+        BufferBudget.ofHeap(Runtime.getRuntime().maxMemory()),
         new GatewayMeters(metrics.registry()),
         liveDaemonCount);
   }
@@ -406,6 +406,7 @@
     metrics.registerGauge("galenapost.requests.in.progress", calls::count);
     metrics.registerGauge("galenapost.caller.connections", frontend::connectionCount);
     metrics.registerGauge("galenapost.gateway.body.bytes.held", frontend::bodyBytes);
+    metrics.registerGauge("galenapost.gateway.body.bytes.max", frontend::maxBodyBytes);
     metrics.registerGauge("galenapost.gateway.instances", directory::size);
     metrics.registerGauge(
         "galenapost.gateway.answer.bytes.held", context.answerBuffers()::totalBytes);
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/BodyBudget.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/BodyBudget.java
@@ -6,8 +6,8 @@
  */
 final class BodyBudget {
 
-  /** Fits into the heap of a daemon beside the incomplete answers that it may hold. */
-  static final long MAX_TOTAL_BYTES = 20 * 1024 * 1024;
+  /** Bodies take this share of the heap, which leaves the rest to answers and all else. */
+  private static final double HEAP_SHARE = 0.375;
 
   private final long maxBytes;
   private long reservedBytes;
@@ -16,6 +16,11 @@
     this.maxBytes = maxBytes;
   }
 
+  /** Creates a budget for a process whose heap grows to the given size. */
+  static BodyBudget ofHeap(long maxHeapBytes) {
+    return new BodyBudget((long) (maxHeapBytes * HEAP_SHARE));
+  }
+
   /** Reserves room for a body, or for a further part of it, and returns whether there was any. */
   boolean tryReserve(long bytes) {
     if (reservedBytes + bytes > maxBytes) {
@@ -29,6 +34,10 @@
     reservedBytes -= bytes;
   }
 
+  long maxBytes() {
+    return maxBytes;
+  }
+
   long reservedBytes() {
     return reservedBytes;
   }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/BodyBudgetHandler.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/BodyBudgetHandler.java
@@ -1,5 +1,6 @@
 package org.galenapost.daemon.gateway.front;
 
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -18,8 +19,8 @@
 import java.util.Deque;
 
 /**
- * Reserves room for the bodies of one connection's requests, until their responses are written. A
- * body without room is read and dropped, and its request passed on with a {@link
+ * Reserves room for the bodies of one connection's requests on the heap, until their responses are
+ * written. A body without room is read and dropped, and its request passed on with a {@link
  * NoRoomForBodyException} as the result of decoding.
  */
 final class BodyBudgetHandler extends ChannelDuplexHandler {
@@ -58,10 +59,23 @@
       drop(context, message);
       return;
     }
+    Object kept = message;
+    if (message instanceof HttpContent content && content.content().isDirect()) {
+      kept = onHeap(content);
+    }
     if (message instanceof LastHttpContent) {
       end();
     }
-    context.fireChannelRead(message);
+    context.fireChannelRead(kept);
+  }
+
+  /** Direct memory is scarcer than the heap, and a body that arrives slowly would hold it. */
+  private static HttpContent onHeap(HttpContent content) {
+    try {
+      return content.replace(Unpooled.wrappedBuffer(ByteBufUtil.getBytes(content.content())));
+    } finally {
+      content.release();
+    }
   }
 
   private void begin(HttpRequest request) {
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerFrontend.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerFrontend.java
@@ -47,7 +47,7 @@
   private final DaemonState state;
   private final PendingWork calls;
   private final StreamTakeUp takeUps;
-  private final BodyBudget bodies = new BodyBudget(BodyBudget.MAX_TOTAL_BYTES);
+  private final BodyBudget bodies = BodyBudget.ofHeap(Runtime.getRuntime().maxMemory());
   private final Set<CallerConnection> connections = new HashSet<>();
 
   /**
@@ -130,6 +130,11 @@
     return bodies.reservedBytes();
   }
 
+  /** Returns the bytes that request bodies may take at most. */
+  public long maxBodyBytes() {
+    return bodies.maxBytes();
+  }
+
   /** Closes the connections on which no call is in progress. */
   public void closeIdleConnections() {
     List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/RequestValidator.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/RequestValidator.java
@@ -134,7 +134,7 @@
   private static Refusal malformed(Throwable cause) {
     if (cause instanceof NoRoomForBodyException) {
       return Refusal.notRun(
-              RefusalReason.QUEUE_FULL, "Requests in progress leave no room for the body.")
+              RefusalReason.BODY_MEMORY_FULL, "Requests in progress leave no room for the body.")
           .withRetryAfter(BODY_RETRY_AFTER);
     }
     boolean isTooLong =
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/BufferBudget.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/BufferBudget.java
@@ -9,11 +9,21 @@
   /** One call may hold this much, well above the answers of the users' services. */
   static final long MAX_CALL_BYTES = 4 * 1024 * 1024;
 
-  /** All calls together may hold this much, a quarter of the heap of a daemon. */
-  static final long MAX_TOTAL_BYTES = 16 * 1024 * 1024;
+  /** All calls together may hold this share of the heap; buffers that grow take up to twice it. */
+  private static final double HEAP_SHARE = 0.125;
 
+  private final long maxTotalBytes;
   private long totalBytes;
 
+  BufferBudget(long maxTotalBytes) {
+    this.maxTotalBytes = maxTotalBytes;
+  }
+
+  /** Creates a budget for a process whose heap grows to the given size. */
+  public static BufferBudget ofHeap(long maxHeapBytes) {
+    return new BufferBudget((long) (maxHeapBytes * HEAP_SHARE));
+  }
+
   /**
    * Changes what one call holds.
    *
@@ -24,7 +34,7 @@
   boolean tryResize(long heldBytes, long neededBytes) {
     long newTotal = totalBytes - heldBytes + neededBytes;
     boolean isGrowth = neededBytes > heldBytes;
-    if (isGrowth && (neededBytes > MAX_CALL_BYTES || newTotal > MAX_TOTAL_BYTES)) {
+    if (isGrowth && (neededBytes > MAX_CALL_BYTES || newTotal > maxTotalBytes)) {
       return false;
     }
     totalBytes = newTotal;
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/front/BodyBudgetHandlerTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/front/BodyBudgetHandlerTest.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
@@ -97,6 +98,17 @@
     assertThat(refused.decoderResult().cause()).isInstanceOf(NoRoomForBodyException.class);
   }
 
+  @Test
+  void keepsPartsOfBodiesOnTheHeap() {
+    first.writeInbound(head(400));
+    first.writeInbound(new DefaultLastHttpContent(Unpooled.directBuffer().writeZero(400)));
+
+    first.readInbound();
+    HttpContent kept = first.readInbound();
+    assertThat(kept.content().isDirect()).isFalse();
+    assertThat(kept.content().readableBytes()).isEqualTo(400);
+  }
+
   private static HttpRequest head(int bodyBytes) {
     HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/a");
     request.headers().set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(bodyBytes));
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/run/BufferBudgetTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/run/BufferBudgetTest.java
@@ -2,13 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.galenapost.daemon.gateway.run.BufferBudget.MAX_CALL_BYTES;
-import static org.galenapost.daemon.gateway.run.BufferBudget.MAX_TOTAL_BYTES;
 
 import org.junit.jupiter.api.Test;
 
 class BufferBudgetTest {
 
-  private final BufferBudget budget = new BufferBudget();
+  private static final long HEAP_BYTES = 120 * 1024 * 1024;
+  private static final long MAX_TOTAL_BYTES = HEAP_BYTES / 8;
+
+  private final BufferBudget budget = BufferBudget.ofHeap(HEAP_BYTES);
 
   @Test
   void boundsWhatOneCallHolds() {
@@ -24,15 +26,17 @@
       held += budget.tryResize(0, MAX_CALL_BYTES) ? MAX_CALL_BYTES : 0;
     }
 
-    assertThat(held).isEqualTo(MAX_TOTAL_BYTES);
-    assertThat(budget.totalBytes()).isEqualTo(MAX_TOTAL_BYTES);
+    assertThat(held).isGreaterThan(MAX_TOTAL_BYTES - MAX_CALL_BYTES);
+    assertThat(held).isLessThanOrEqualTo(MAX_TOTAL_BYTES);
+    assertThat(budget.totalBytes()).isEqualTo(held);
   }
 
   @Test
   void givesRoomBackWhenACallEnds() {
-    while (budget.totalBytes() < MAX_TOTAL_BYTES) {
-      assertThat(budget.tryResize(0, MAX_CALL_BYTES)).isTrue();
+    while (budget.tryResize(0, MAX_CALL_BYTES)) {
+      assertThat(budget.totalBytes()).isLessThanOrEqualTo(MAX_TOTAL_BYTES);
     }
+    assertThat(budget.tryResize(0, MAX_TOTAL_BYTES - budget.totalBytes())).isTrue();
     assertThat(budget.tryResize(0, 1)).isFalse();
 
     assertThat(budget.tryResize(MAX_CALL_BYTES, 0)).isTrue();
