--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/BodyBudgetHandler.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/BodyBudgetHandler.java
@@ -72,7 +72,10 @@
   /** Direct memory is scarcer than the heap, and a body that arrives slowly would hold it. */
   private static HttpContent onHeap(HttpContent content) {
     try {
-      return content.replace(Unpooled.wrappedBuffer(ByteBufUtil.getBytes(content.content())));
+      HttpContent kept =
+          content.replace(Unpooled.wrappedBuffer(ByteBufUtil.getBytes(content.content())));
+      kept.setDecoderResult(content.decoderResult());
+      return kept;
     } finally {
       content.release();
     }
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/front/BodyBudgetHandlerTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/front/BodyBudgetHandlerTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -109,6 +110,19 @@
     assertThat(kept.content().readableBytes()).isEqualTo(400);
   }
 
+  /** A malformed chunk must not look like a sound one, as requests may hide behind it. */
+  @Test
+  void keepsFailureToDecodePartOfBody() {
+    HttpContent malformed = new DefaultLastHttpContent(Unpooled.directBuffer().writeZero(4));
+    malformed.setDecoderResult(DecoderResult.failure(new IllegalArgumentException("chunk size")));
+    first.writeInbound(head(4));
+    first.writeInbound(malformed);
+
+    first.readInbound();
+    HttpContent kept = first.readInbound();
+    assertThat(kept.decoderResult().isFailure()).isTrue();
+  }
+
   private static HttpRequest head(int bodyBytes) {
     HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/a");
     request.headers().set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(bodyBytes));
