Leave out a message of another daemon that does not fit its type

One message whose fields do not fit its type, as a daemon of another build may send it, closed the connection that brings all other messages of that daemon: uses of servers, notices of lost or leaving ones, configurations.

The message is skipped and logged, as one of an unknown type is. Frames have a length, so the next one is found; bytes that are no document at all still close the connection.

--- a/daemon/src/main/java/org/galenapost/daemon/peer/PeerCodec.java
+++ b/daemon/src/main/java/org/galenapost/daemon/peer/PeerCodec.java
@@ -1,6 +1,7 @@
 package org.galenapost.daemon.peer;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.exc.InvalidTypeIdException;
 import io.netty.buffer.ByteBuf;
@@ -15,8 +16,9 @@
 import org.galenapost.daemon.log.EventLog;
 
 /**
- * Decodes frames into messages and encodes messages into frames. A message of an unknown type is
- * skipped, so that daemons of different versions can run in one fleet.
+ * Decodes frames into messages and encodes messages into frames. A message of an unknown type, or
+ * whose fields do not fit its type, is skipped, so that daemons of different versions can run in
+ * one fleet.
  */
 final class PeerCodec extends MessageToMessageCodec<ByteBuf, PeerMessage> {
 
@@ -36,6 +38,11 @@
       out.add(MAPPER.readValue(bytes, PeerMessage.class));
     } catch (InvalidTypeIdException e) {
       LOG.debug("peer_message_unknown").with("type", e.getTypeId()).write();
+    } catch (JsonMappingException e) {
+      LOG.info("peer_message_unreadable")
+          .with("address", context.channel().remoteAddress())
+          .with("fault", e.getOriginalMessage())
+          .write();
     }
   }
 
