Resume streams, lose all daemons and break answers off in the soak

Callers now resume streams that broke off at other daemons, and the check follows the version of a stream over them; in each round all daemons are killed at once, and up to 0.4 of the answers come without a length, half of them reset in the middle. The new faults draw from sources of their own, so the others of a seed stay as they were. The result counts resumed calls and those that a server ran.

--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/GatewaySoak.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/GatewaySoak.java
@@ -10,11 +10,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.galenapost.scenarios.process.ManagedProcess;
 import org.galenapost.scenarios.soak.CallRecord.Outcome;
@@ -31,7 +33,10 @@
   private static final int PLANNED_ACTIONS_PER_PHASE = 5;
   private static final long RESTORE_SEED_FACTOR = 31;
   private static final long FULL_SERVERS_SEED_FACTOR = 37;
+  private static final long BROKEN_ANSWERS_SEED_FACTOR = 41;
+  private static final long LOSS_OF_ALL_SEED_FACTOR = 43;
   private static final double MAX_LATE_COPY_SHARE = 0.3;
+  private static final double MAX_UNDELIMITED_SHARE = 0.4;
 
   /** Starting or ending a fault takes milliseconds, so a few threads keep the schedule. */
   private static final int SCHEDULER_THREADS = 4;
@@ -86,6 +91,8 @@
       for (int round = 0; round < options.rounds(); round++) {
         scheduleRestore(soakFaults, round);
         scheduleFullServers(soakFaults, round);
+        scheduleBrokenAnswers(soakFaults, round);
+        scheduleLossOfAllDaemons(soakFaults, round);
         runFaultPhase(soakFaults);
         pause(SETTLE_TIME);
         runPlannedWorkPhase(soakFaults);
@@ -182,6 +189,20 @@
         });
   }
 
+  private void scheduleBrokenAnswers(SoakFaults soakFaults, int round) {
+    Random ownRandom = new Random(options.seed() * BROKEN_ANSWERS_SEED_FACTOR + round);
+    double share = MAX_UNDELIMITED_SHARE * ownRandom.nextDouble();
+    int delayMs = ownRandom.nextInt((int) SoakOptions.FAULT_PHASE.toMillis() - MAX_FAULT_MS);
+    schedule(delayMs, () -> schedule(MAX_FAULT_MS, soakFaults.breakAnswers(share)));
+  }
+
+  private void scheduleLossOfAllDaemons(SoakFaults soakFaults, int round) {
+    Random ownRandom = new Random(options.seed() * LOSS_OF_ALL_SEED_FACTOR + round);
+    int delayMs = ownRandom.nextInt((int) SoakOptions.FAULT_PHASE.toMillis() - MAX_FAULT_MS);
+    int durationMs = MIN_FAULT_MS + ownRandom.nextInt(MAX_FAULT_MS - MIN_FAULT_MS);
+    schedule(delayMs, () -> schedule(durationMs, soakFaults.killAllDaemons()));
+  }
+
   private void beginFault(SoakFaults soakFaults, Fault fault, int durationMs, Random ownRandom) {
     faultCount.incrementAndGet();
     Runnable endFault = soakFaults.begin(fault, ownRandom);
@@ -242,6 +263,14 @@
                     history.disturbances().isFleetUndisturbed(call.sentNanos(), call.endNanos()))
             .count();
     Map<String, List<ServerStandin.Run>> runs = fleet.runs();
+    List<CallRecord> resumed =
+        calls.stream().filter(call -> call.resumption().isPresent()).toList();
+    Set<String> ranCalls =
+        runs.values().stream()
+            .flatMap(List::stream)
+            .map(ServerStandin.Run::callId)
+            .collect(Collectors.toSet());
+    long wentOn = resumed.stream().filter(call -> ranCalls.contains(call.id())).count();
     int runCount = runs.values().stream().mapToInt(List::size).sum();
     List<String> violations = SoakChecks.violations(history, runs);
     return new SoakResult(
@@ -249,6 +278,8 @@
         calls.size(),
         (int) answered,
         (int) undisturbed,
+        resumed.size(),
+        (int) wentOn,
         runCount,
         faultCount.get(),
         violations);
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakCaller.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakCaller.java
@@ -14,7 +14,8 @@
 
 /**
  * Sends calls to randomly chosen daemons. Each connection is kept alive for a random number of
- * calls, unless the daemon closes it earlier.
+ * calls, unless the daemon closes it earlier. A stream that is broken off is resumed at another
+ * daemon, as soon as one accepts connections.
  */
 final class SoakCaller implements Runnable {
 
@@ -29,6 +30,8 @@
       Duration.ofMillis(StoreContentWriter.ROUTE_TIMEOUT_MS + 3_000L);
 
   private static final long CALL_DEADLINE_MS = 8_000;
+  private static final int MAX_RESUME_TRIES = 20;
+  private static final Duration RESUME_PAUSE = Duration.ofMillis(200);
 
   private final String name;
   private final Random random;
@@ -36,6 +39,8 @@
   private final List<String> keys;
   private final BooleanSupplier mustStop;
   private final Consumer<CallRecord> onCall;
+  private final Random resumeRandom;
+  private Optional<CallRecord.Resumption> pendingResumption = Optional.empty();
   private int callCount;
 
   /**
@@ -57,6 +62,7 @@
       Consumer<CallRecord> onCall) {
     this.name = name;
     this.random = new Random(seed);
+    this.resumeRandom = new Random(seed + 1);
     this.ports = ports;
     this.keys = keys;
     this.mustStop = mustStop;
@@ -66,6 +72,7 @@
   @Override
   public void run() {
     while (!mustStop.getAsBoolean()) {
+      resumePendingStream();
       int daemon = random.nextInt(ports.size());
       try (RawHttpClient connection = new RawHttpClient(ports.get(daemon))) {
         makeCalls(connection, daemon);
@@ -75,13 +82,62 @@
     }
   }
 
+  private void resumePendingStream() {
+    for (int tries = 0; tries < MAX_RESUME_TRIES; tries++) {
+      if (pendingResumption.isEmpty() || mustStop.getAsBoolean()) {
+        break;
+      }
+      int daemon = resumeRandom.nextInt(ports.size());
+      try (RawHttpClient connection = new RawHttpClient(ports.get(daemon))) {
+        resume(connection, daemon, pendingResumption.get());
+      } catch (IOException e) {
+        ManagedProcess.pause(RESUME_PAUSE);
+      }
+    }
+    pendingResumption = Optional.empty();
+  }
+
+  private void resume(RawHttpClient connection, int daemon, CallRecord.Resumption resumption)
+      throws IOException {
+    String id = name + "-" + callCount++;
+    String request =
+        StoreContentWriter.request(
+            CallRecord.Kind.STREAM.method,
+            CallRecord.Kind.STREAM.prefix + id,
+            id,
+            keys.get(0),
+            CALL_DEADLINE_MS,
+            "body of " + id,
+            StoreContentWriter.STREAM_HEADER,
+            "Resumes: " + resumption.stream(),
+            "Last-Event-Id: " + resumption.afterEvent());
+    CallRecord unsent =
+        new CallRecord(
+            id,
+            CallRecord.Kind.STREAM,
+            daemon,
+            keys.get(0),
+            0,
+            0,
+            CallRecord.Outcome.SILENT,
+            Optional.empty(),
+            Optional.of(resumption));
+    CallRecord ended = exchange(connection, unsent, request, READ_TIMEOUT, false);
+    boolean isWhole = ended.outcome() == CallRecord.Outcome.ANSWERED && ended.isStatus(200);
+    pendingResumption = isWhole ? Optional.empty() : ended.nextResumption();
+    if (!isWhole) {
+      ManagedProcess.pause(RESUME_PAUSE);
+    }
+  }
+
   private void makeCalls(RawHttpClient connection, int daemon) throws IOException {
     int callsOnConnection = 1 + random.nextInt(MAX_CALLS_PER_CONNECTION);
     for (int i = 0; i < callsOnConnection && !mustStop.getAsBoolean(); i++) {
-      if (!call(connection, daemon)) {
+      boolean isReusable = call(connection, daemon);
+      pauseForThinkTime();
+      if (!isReusable) {
         return;
       }
-      pauseForThinkTime();
     }
   }
 
@@ -96,11 +152,37 @@
     String key = keys.get(Math.max(0, random.nextInt(2 * keys.size()) - keys.size()));
     boolean isAbandoning = random.nextDouble() < ABANDONED_CALL_SHARE;
     String id = name + "-" + callCount++;
-    onCall.accept(record(id, kind, daemon, key, 0, CallRecord.Outcome.SILENT, Optional.empty()));
     Duration readTimeout =
         isAbandoning ? Duration.ofMillis(1 + random.nextInt(MAX_ABANDON_DELAY_MS)) : READ_TIMEOUT;
+    CallRecord unsent =
+        new CallRecord(
+            id,
+            kind,
+            daemon,
+            key,
+            0,
+            0,
+            CallRecord.Outcome.SILENT,
+            Optional.empty(),
+            Optional.empty());
+    CallRecord ended =
+        exchange(connection, unsent, request(kind, id, key), readTimeout, isAbandoning);
+    pendingResumption = ended.nextResumption();
+    return ended.outcome() == CallRecord.Outcome.ANSWERED
+        && !ended.answer().orElseThrow().closesConnection();
+  }
+
+  /** Sends a call, waits for its end and records both. */
+  private CallRecord exchange(
+      RawHttpClient connection,
+      CallRecord unsent,
+      String request,
+      Duration readTimeout,
+      boolean isAbandoning)
+      throws IOException {
+    onCall.accept(unsent.endedNow(0, CallRecord.Outcome.SILENT, Optional.empty()));
     connection.setReadTimeout(readTimeout);
-    connection.send(request(kind, id, key));
+    connection.send(request);
     long sentNanos = System.nanoTime();
     Optional<RawHttpClient.Response> answer = Optional.empty();
     CallRecord.Outcome outcome;
@@ -116,19 +198,9 @@
     if (outcome != CallRecord.Outcome.ANSWERED) {
       connection.close();
     }
-    onCall.accept(record(id, kind, daemon, key, sentNanos, outcome, answer));
-    return outcome == CallRecord.Outcome.ANSWERED && !answer.get().closesConnection();
-  }
-
-  private static CallRecord record(
-      String id,
-      CallRecord.Kind kind,
-      int daemon,
-      String key,
-      long sentNanos,
-      CallRecord.Outcome outcome,
-      Optional<RawHttpClient.Response> answer) {
-    return new CallRecord(id, kind, daemon, key, sentNanos, System.nanoTime(), outcome, answer);
+    CallRecord ended = unsent.endedNow(sentNanos, outcome, answer);
+    onCall.accept(ended);
+    return ended;
   }
 
   private String request(CallRecord.Kind kind, String id, String key) {
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakChecks.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakChecks.java
@@ -115,7 +115,7 @@
     if (call.kind() == Kind.ONCE && runs.size() > 1) {
       addViolation(call, "ran more than once");
     }
-    if (call.kind() == Kind.STREAM && mixesVersions(runs)) {
+    if (call.kind() == Kind.STREAM && mixesVersions(runs, versionBefore(call))) {
       addViolation(call, "went on at another software version");
     }
     for (Execution execution : runs) {
@@ -135,15 +135,31 @@
     }
   }
 
+  /** Returns the version that began the stream which a call resumes; empty for other calls. */
+  private String versionBefore(CallRecord call) {
+    return call.resumption()
+        .map(resumption -> executions.getOrDefault(resumption.stream(), List.of()))
+        .map(SoakChecks::inOrder)
+        .flatMap(
+            runs ->
+                runs.stream()
+                    .filter(run -> !run.headers().containsKey("Last-Event-Id"))
+                    .reduce((first, last) -> last))
+        .map(ServerStandin.Run::softwareVersion)
+        .orElse("");
+  }
+
+  private static List<ServerStandin.Run> inOrder(List<Execution> runs) {
+    return runs.stream()
+        .map(Execution::run)
+        .sorted(Comparator.comparingLong(ServerStandin.Run::startedAtNanos))
+        .toList();
+  }
+
   /** Returns whether a run that resumes a stream has another version than the one that began it. */
-  private static boolean mixesVersions(List<Execution> runs) {
-    List<ServerStandin.Run> ordered =
-        runs.stream()
-            .map(Execution::run)
-            .sorted(Comparator.comparingLong(ServerStandin.Run::startedAtNanos))
-            .toList();
-    String version = "";
-    for (ServerStandin.Run run : ordered) {
+  private static boolean mixesVersions(List<Execution> runs, String versionBefore) {
+    String version = versionBefore;
+    for (ServerStandin.Run run : inOrder(runs)) {
       if (!run.headers().containsKey("Last-Event-Id")) {
         version = run.softwareVersion();
       } else if (!run.softwareVersion().equals(version)) {
@@ -183,7 +199,7 @@
   }
 
   private void checkEvents(CallRecord call, RawHttpClient.Response answer) {
-    String expected = ServerStandin.eventsAfter(0, call.id());
+    String expected = ServerStandin.eventsAfter(call.afterEvent(), call.id());
     if (answer.isComplete() && !answer.body().equals(expected)) {
       addViolation(call, "looks complete but is not: " + difference(expected, answer.body()));
     } else if (!expected.startsWith(answer.body())) {
@@ -253,6 +269,7 @@
             && call.isStatus(503)
             && history.isDaemonRestarting(call);
     if (hasAlwaysAllowedKey
+        && !isResumedAcrossDisturbance(call)
         && !isServed
         && !isCloseRace
         && !isRefusedByRestartingDaemon
@@ -261,6 +278,17 @@
     }
   }
 
+  /** Where a stream began may be lost with the daemons that knew it; it is refused then. */
+  private boolean isResumedAcrossDisturbance(CallRecord call) {
+    return call.isStatus(503)
+        && call.resumption()
+            .flatMap(resumption -> history.call(resumption.stream()))
+            .filter(
+                first ->
+                    !history.disturbances().isFleetUndisturbed(first.sentNanos(), call.endNanos()))
+            .isPresent();
+  }
+
   private interface CallCondition {
     boolean holds(CallRecord call);
   }
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFaults.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFaults.java
@@ -7,6 +7,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.ExecutorService;
 import java.util.function.Supplier;
+import java.util.stream.IntStream;
 import org.galenapost.scenarios.process.ManagedProcess;
 import org.galenapost.standins.gateway.ServerStandin.Behaviour;
 import org.galenapost.standins.gateway.StoreEndpoint.FaultMode;
@@ -123,6 +124,14 @@
     };
   }
 
+  /** Kills all daemons at once, and returns the action that starts them again. */
+  Runnable killAllDaemons() {
+    history.logAction("kill all daemons");
+    List<Runnable> starts =
+        IntStream.range(0, fleet.daemons().size()).mapToObj(this::kill).toList();
+    return () -> starts.forEach(Runnable::run);
+  }
+
   private void awaitReady(SoakDaemon daemon) {
     if (!daemon.awaitReady()) {
       history.onFailure(daemon + " was not ready in time after a start");
@@ -195,6 +204,25 @@
     }
   }
 
+  /**
+   * Lets servers send answers without a length, half of which are reset in the middle.
+   *
+   * @param share the share of such answers
+   * @return the action that ends it
+   */
+  Runnable breakAnswers(double share) {
+    return withDisturbance(
+        Disturbances.SERVERS,
+        () -> {
+          setUndelimitedShare(share);
+          return () -> setUndelimitedShare(0);
+        });
+  }
+
+  private void setUndelimitedShare(double share) {
+    fleet.servers().forEach(server -> server.currentInstance().setUndelimitedShare(share));
+  }
+
   /** Restores the store from a copy of some age; what was written since is written again later. */
   void restoreStore(Random random) {
     Duration age = Duration.ofMillis(random.nextInt(MAX_COPY_AGE_MS));
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakResult.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakResult.java
@@ -9,6 +9,8 @@
  * @param calls the number of calls
  * @param answered the number of calls that received a complete response
  * @param undisturbed the number of calls made while nothing was disturbed, which must all be served
+ * @param resumed the number of calls that resume a stream
+ * @param wentOn the number of these that a server ran
  * @param runs the number of runs at servers
  * @param faults the number of injected faults
  * @param violations the violated guarantees, one line each
@@ -18,6 +20,8 @@
     int calls,
     int answered,
     int undisturbed,
+    int resumed,
+    int wentOn,
     int runs,
     int faults,
     List<String> violations) {
@@ -29,13 +33,15 @@
 
   /** Returns the result as one line. */
   public String line() {
-    return "soak seed=%d %s calls=%d answered=%d calm=%d runs=%d faults=%d violations=%d"
+    return "soak seed=%d %s calls=%d answered=%d calm=%d resumed=%d went_on=%d runs=%d faults=%d violations=%d"
         .formatted(
             seed,
             hasPassed() ? "held" : "FAILED",
             calls,
             answered,
             undisturbed,
+            resumed,
+            wentOn,
             runs,
             faults,
             violations.size());
--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/SoakChecksTest.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/SoakChecksTest.java
@@ -272,7 +272,9 @@
       Outcome outcome,
       Optional<RawHttpClient.Response> answer,
       long durationMs) {
-    history.onCall(new CallRecord(id, kind, 0, key, now, now + durationMs * MS, outcome, answer));
+    history.onCall(
+        new CallRecord(
+            id, kind, 0, key, now, now + durationMs * MS, outcome, answer, Optional.empty()));
   }
 
   private static Optional<RawHttpClient.Response> answer(
--- a/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
@@ -28,6 +28,9 @@
   /** The number of events in each stream. */
   public static final int EVENTS_PER_STREAM = 20;
 
+  /** Lets the caller read an answer before its connection ends. */
+  private static final Duration UNDELIMITED_ANSWER_PAUSE = Duration.ofMillis(20);
+
   private static final Duration COMMENT_INTERVAL = Duration.ofMillis(200);
   private static final String FILLER = "x".repeat(16 * 1024);
   private static final int OK = 200;
@@ -53,6 +56,7 @@
   private volatile boolean isLeaving;
   private volatile double refusalShare;
   private volatile double lateCopyShare;
+  private volatile double undelimitedShare;
   private volatile boolean namesCalls = true;
   private volatile boolean sealsFailures = true;
   private volatile int failureStatus = INTERNAL_SERVER_ERROR;
@@ -235,6 +239,14 @@
     lateCopyShare = share;
   }
 
+  /**
+   * Sets the share of answers, other than streams, that come without a length and end with their
+   * connection. Half of them are reset in the middle.
+   */
+  public void setUndelimitedShare(double share) {
+    undelimitedShare = share;
+  }
+
   /** Makes the server leave the id of the call out of its refusals and failures. */
   public void omitCallIds() {
     namesCalls = false;
@@ -407,11 +419,29 @@
       streamFrom(stream, headers.get("X-Attempt-Id"), after + 1);
     } else if (behaviour == Behaviour.TALKATIVE) {
       exchange.replyRaw(rawResponse(OK, sealed, ownBody()) + "HTTP/1.1 200 OK\r\n\r\nmore");
+    } else if (isDrawn(undelimitedShare)) {
+      replyWithoutLength(exchange, headers, sealed, isDrawn(0.5));
     } else {
       reply(exchange, headers.get("X-Attempt-Id"), OK, sealed, ownBody());
     }
   }
 
+  private void replyWithoutLength(
+      Exchange exchange,
+      Map<String, String> headers,
+      Map<String, String> sealed,
+      boolean isBrokenOff) {
+    String body = ownBody();
+    String sent = isBrokenOff ? body.substring(0, body.length() / 2) : body;
+    exchange.replyRaw(endlessHead(headers, sealed) + sent);
+    server
+        .eventLoop()
+        .schedule(
+            isBrokenOff ? exchange::reset : exchange::closeWithoutResponse,
+            UNDELIMITED_ANSWER_PAUSE.toMillis(),
+            TimeUnit.MILLISECONDS);
+  }
+
   private static String endlessHead(Map<String, String> headers, Map<String, String> sealed) {
     String type = headers.containsKey("X-Token-Counts") ? "text/event-stream" : "text/plain";
     StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\nContent-Type: " + type + "\r\n");
