--- a/daemon/src/test/java/org/galenapost/daemon/relay/ServiceClientTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/relay/ServiceClientTest.java
@@ -100,7 +100,7 @@
             Optional.empty(),
             TIMEOUT);
     client.send(request, () -> true, outcome::complete);
-    return outcome.get(2 * TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    return outcome.get(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   private static BackendServer service(int port) {
