Log what a connection held before a send, and heads made of two

The logs could not tell a head merged from two answers from a server whose two answers to one call differ: nothing named the bytes that a connection had received before a send, or two ids, seals or lengths in one head. Sends now log held_bytes, and such a head is logged as merged_head with the sign.

The codec of connections to servers is one of our own, as HttpClientCodec does not tell how many bytes it holds. What callers get is unchanged.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/call/ResponseHead.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/call/ResponseHead.java
@@ -21,6 +21,7 @@
  * @param rate what the server states about the rate of requests that it takes
  * @param refusalRate what the server states about the refusals in a second that it bears
  * @param isStream whether the body is an event stream
+ * @param mergeSign what the head states although only parts of two heads can state it, if anything
  */
 public record ResponseHead(
     int status,
@@ -33,7 +34,8 @@
     Optional<Duration> retryAfter,
     RateStatement rate,
     RateStatement refusalRate,
-    boolean isStream) {
+    boolean isStream,
+    Optional<String> mergeSign) {
 
   private static final int MIN_SUCCESS_STATUS = 200;
   private static final int MIN_REDIRECT_STATUS = 300;
@@ -48,6 +50,7 @@
     Objects.requireNonNull(retryAfter, "retryAfter");
     Objects.requireNonNull(rate, "rate");
     Objects.requireNonNull(refusalRate, "refusalRate");
+    Objects.requireNonNull(mergeSign, "mergeSign");
   }
 
   /** Returns whether the status is a success (2xx). */
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallLog.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallLog.java
@@ -147,7 +147,8 @@
     return event(name)
         .with("server", attempt.instance().key().text())
         .with("connection", attempt.trace().connection())
-        .with("connection_sends", attempt.trace().sends());
+        .with("connection_sends", attempt.trace().sends())
+        .with("held_bytes", attempt.trace().heldBytes());
   }
 
   private LogEvent event(String name) {
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
@@ -21,6 +21,8 @@
 import org.galenapost.daemon.gateway.call.CallFormat;
 import org.galenapost.daemon.gateway.call.ResponseHead;
 import org.galenapost.daemon.log.EventLog;
+import org.galenapost.daemon.net.MergedHeads;
+import org.galenapost.daemon.net.StrictClientCodec;
 
 /**
  * One connection to a server. A response that names another call is skipped, and the connection is
@@ -43,6 +45,7 @@
   private final InstanceKey instance;
   private final CallFormat format;
   private final Consumer<ServerConnection> onIdle;
+  private final StrictClientCodec codec;
   private Channel channel;
   private ChannelFuture requestWrite;
   private ResponseListener listener;
@@ -54,12 +57,18 @@
   private Duration idleLimit = DEFAULT_IDLE_LIMIT;
   private long idleSinceNanos;
   private int sendCount;
+  private int heldBytes;
 
   ServerConnection(
-      long number, InstanceKey instance, CallFormat format, Consumer<ServerConnection> onIdle) {
+      long number,
+      InstanceKey instance,
+      CallFormat format,
+      StrictClientCodec codec,
+      Consumer<ServerConnection> onIdle) {
     this.number = number;
     this.instance = instance;
     this.format = format;
+    this.codec = codec;
     this.onIdle = onIdle;
   }
 
@@ -93,6 +102,7 @@
   void send(OutgoingCall call, FullHttpRequest request, ResponseListener responseListener) {
     call.recordUse(number);
     sendCount++;
+    heldBytes = codec.undecodedBytes();
     callId = call.id();
     listener = responseListener;
     hasHead = false;
@@ -130,6 +140,7 @@
       return;
     }
     ResponseHead head = format.readResponseHead(response);
+    MergedHeads.findSign(response).or(head::mergeSign).ifPresent(sign -> logMergedHead(head, sign));
     if (head.callId().isEmpty()) {
       fail(SendFailure.malformed("an answer with status " + head.status() + " names no call"));
       return;
@@ -153,6 +164,18 @@
     listener.onHead(head);
   }
 
+  private void logMergedHead(ResponseHead head, String sign) {
+    LOG.info("merged_head")
+        .with("id", callId)
+        .with("server", instance.text())
+        .with("connection", number)
+        .with("connection_sends", sendCount)
+        .with("held_bytes", heldBytes)
+        .with("status", head.status())
+        .with("sign", sign)
+        .write();
+  }
+
   private void updateReusability(HttpResponse response) {
     boolean isBodyDelimited =
         HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
@@ -276,7 +299,7 @@
 
   @Override
   public ConnectionTrace trace() {
-    return new ConnectionTrace(number, sendCount);
+    return new ConnectionTrace(number, sendCount, heldBytes);
   }
 
   @Override
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
@@ -8,7 +8,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.channels.ClosedChannelException;
@@ -25,6 +24,7 @@
 import org.galenapost.daemon.gateway.call.CallFormat;
 import org.galenapost.daemon.net.BrokenConnectionGuard;
 import org.galenapost.daemon.net.KeepAliveProbes;
+import org.galenapost.daemon.net.StrictClientCodec;
 import org.galenapost.daemon.service.Service;
 
 /** Sends calls over pooled connections. Must be used on one event loop. */
@@ -152,11 +152,13 @@
       FullHttpRequest request,
       ResponseListener listener) {
     openedConnectionCount++;
+    StrictClientCodec codec = new StrictClientCodec(DECODER);
     ServerConnection connection =
-        new ServerConnection(openedConnectionCount, instance.key(), format, this::returnToPool);
+        new ServerConnection(
+            openedConnectionCount, instance.key(), format, codec, this::returnToPool);
     ConnectingCall connectingCall = new ConnectingCall(connection);
     ChannelFuture connecting =
-        bootstrap.clone().handler(initializer(connection)).connect(addresses.of(instance));
+        bootstrap.clone().handler(initializer(codec, connection)).connect(addresses.of(instance));
     connectingCall.channel = connecting.channel();
     // Sends in a task of its own, so that a caller's close that is read in the same pass of the
     // event loop cancels the call first.
@@ -187,12 +189,13 @@
     }
   }
 
-  private static ChannelInitializer<Channel> initializer(ServerConnection connection) {
+  private static ChannelInitializer<Channel> initializer(
+      StrictClientCodec codec, ServerConnection connection) {
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(Channel channel) {
         connection.attach(channel);
-        channel.pipeline().addLast(new HttpClientCodec(DECODER, false, false), connection);
+        channel.pipeline().addLast(codec, connection);
         BrokenConnectionGuard.addTo(channel);
       }
     };
--- a/daemon/src/main/java/org/galenapost/daemon/net/BrokenConnectionGuard.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/BrokenConnectionGuard.java
@@ -23,8 +23,13 @@
 
   /** Adds a guard behind the HTTP codec of a connection. */
   public static void addTo(Channel channel) {
-    String codec = channel.pipeline().context(HttpClientCodec.class).name();
-    channel.pipeline().addAfter(codec, "broken-connection-guard", new BrokenConnectionGuard());
+    ChannelHandlerContext codec = channel.pipeline().context(StrictClientCodec.class);
+    if (codec == null) {
+      codec = channel.pipeline().context(HttpClientCodec.class);
+    }
+    channel
+        .pipeline()
+        .addAfter(codec.name(), "broken-connection-guard", new BrokenConnectionGuard());
   }
 
   @Override
