Close a connection that receives bytes while no call waits for them

Cause: bytes that make up no message raise no event, so a kept connection that had received a part of a late second answer counted as clean; the next answer was decoded together with it.

The codec now decodes only while a response is awaited. All other bytes are dropped, logged as stray_bytes with their number, and end the connection, so no call is sent on one that holds any: it costs a new connection and no call. held_bytes, which is 0 for every send from now on, is taken out of the logs.

Evidence: givesCallerTheAnswerToItsCallOrNoneAfterPartOfCopyWhileIdle failed before (expected 200, was 201) and holds 3,000 tries now.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallLog.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallLog.java
@@ -147,8 +147,7 @@
     return event(name)
         .with("server", attempt.instance().key().text())
         .with("connection", attempt.trace().connection())
-        .with("connection_sends", attempt.trace().sends())
-        .with("held_bytes", attempt.trace().heldBytes());
+        .with("connection_sends", attempt.trace().sends());
   }
 
   private LogEvent event(String name) {
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ConnectionTrace.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ConnectionTrace.java
@@ -5,11 +5,9 @@
  *
  * @param connection the number of the connection, unique in this process; 0 if there was none
  * @param sends the number of sends that the connection has carried, with this one
- * @param heldBytes the number of bytes that the connection had received before the send and that
- *     belonged to no response
  */
-public record ConnectionTrace(long connection, int sends, int heldBytes) {
+public record ConnectionTrace(long connection, int sends) {
 
   /** The trace of a send that got no connection. */
-  public static final ConnectionTrace NONE = new ConnectionTrace(0, 0, 0);
+  public static final ConnectionTrace NONE = new ConnectionTrace(0, 0);
 }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
@@ -28,7 +28,7 @@
  * One connection to a server. A response that names another call is skipped, and the connection is
  * closed after the response to the current call. A response that names no call ends the connection,
  * as it does not tell whether the current call has run. Bytes that arrive while no call is in
- * flight close the connection immediately.
+ * flight close the connection immediately, so a call is only sent on one that holds none.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter implements ServerCall {
 
@@ -57,7 +57,6 @@
   private Duration idleLimit = DEFAULT_IDLE_LIMIT;
   private long idleSinceNanos;
   private int sendCount;
-  private int heldBytes;
 
   ServerConnection(
       long number,
@@ -102,7 +101,6 @@
   void send(OutgoingCall call, FullHttpRequest request, ResponseListener responseListener) {
     call.recordUse(number);
     sendCount++;
-    heldBytes = codec.undecodedBytes();
     callId = call.id();
     listener = responseListener;
     hasHead = false;
@@ -128,7 +126,6 @@
 
   private void onResponse(HttpResponse response) {
     if (listener == null || isComplete) {
-      closeOnStrayBytes("a response without a pending call");
       return;
     }
     if (response.decoderResult().isFailure()) {
@@ -170,7 +167,6 @@
         .with("server", instance.text())
         .with("connection", number)
         .with("connection_sends", sendCount)
-        .with("held_bytes", heldBytes)
         .with("status", head.status())
         .with("sign", sign)
         .write();
@@ -201,7 +197,10 @@
     }
     boolean isLast = content instanceof LastHttpContent;
     if (isResponseSkipped) {
-      isResponseSkipped = !isLast;
+      if (isLast) {
+        isResponseSkipped = false;
+        codec.awaitFurtherResponse();
+      }
       return;
     }
     if (!hasHead) {
@@ -256,15 +255,19 @@
     }
   }
 
-  private void closeOnStrayBytes(String description) {
-    LOG.info("stray_bytes")
-        .with("server", instance.text())
-        .with("connection", number)
-        .with("connection_sends", sendCount)
-        .with("what", description)
-        .write();
-    isReusable = false;
-    channel.close();
+  /** Logs bytes that belong to no call; the codec closes the connection. */
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof StrictClientCodec.UnrequestedBytes stray) {
+      isReusable = false;
+      LOG.info("stray_bytes")
+          .with("server", instance.text())
+          .with("connection", number)
+          .with("connection_sends", sendCount)
+          .with("bytes", stray.count())
+          .write();
+    }
+    context.fireUserEventTriggered(event);
   }
 
   private void fail(SendFailure failure) {
@@ -299,7 +302,7 @@
 
   @Override
   public ConnectionTrace trace() {
-    return new ConnectionTrace(number, sendCount, heldBytes);
+    return new ConnectionTrace(number, sendCount);
   }
 
   @Override
--- a/daemon/src/main/java/org/galenapost/daemon/net/StrictClientCodec.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/StrictClientCodec.java
@@ -1,5 +1,6 @@
 package org.galenapost.daemon.net;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.CombinedChannelDuplexHandler;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -7,37 +8,81 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 
 /**
  * Encodes requests and decodes responses like {@code HttpClientCodec}, for connections that carry
- * one request at a time, and tells how many bytes it holds that make up no message yet.
+ * one request at a time. Bytes that arrive while no request waits for its response belong to none
+ * and may be a part of one; decoded together with the next response they would give it their status
+ * or swallow it. The codec drops them, fires {@link UnrequestedBytes} and closes the connection.
  */
 public final class StrictClientCodec
     extends CombinedChannelDuplexHandler<StrictClientCodec.Decoder, StrictClientCodec.Encoder> {
 
   private HttpMethod requestMethod;
+  private boolean isResponseAwaited;
 
   /** Creates the codec of one connection, with the limits of the heads of responses. */
   public StrictClientCodec(HttpDecoderConfig config) {
     init(new Decoder(config), new Encoder());
   }
 
-  /** Returns the number of bytes that were received and make up no message yet. */
-  public int undecodedBytes() {
-    return inboundHandler().bufferedBytes();
+  /**
+   * Makes the codec take a further response to the current request, after one that belongs to
+   * another request.
+   */
+  public void awaitFurtherResponse() {
+    isResponseAwaited = true;
   }
 
+  /**
+   * A user event: bytes arrived that belong to no request.
+   *
+   * @param count the number of bytes
+   */
+  public record UnrequestedBytes(int count) {}
+
   /** Decodes responses. */
   final class Decoder extends HttpResponseDecoder {
 
+    private boolean isInformational;
+
     Decoder(HttpDecoderConfig config) {
       super(config);
     }
 
-    int bufferedBytes() {
-      return actualReadableBytes();
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
+        throws Exception {
+      if (!isResponseAwaited) {
+        rejectUnrequested(context, buffer);
+        return;
+      }
+      int sizeBefore = out.size();
+      super.decode(context, buffer, out);
+      out.subList(sizeBefore, out.size()).forEach(this::onDecoded);
+    }
+
+    private void onDecoded(Object message) {
+      if (message instanceof HttpResponse response) {
+        isInformational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+      }
+      if (message instanceof LastHttpContent && !isInformational) {
+        isResponseAwaited = false;
+      }
+    }
+
+    private void rejectUnrequested(ChannelHandlerContext context, ByteBuf buffer) {
+      int count = buffer.readableBytes();
+      if (count > 0) {
+        buffer.skipBytes(count);
+        context.fireUserEventTriggered(new UnrequestedBytes(count));
+        context.close();
+      }
     }
 
     @Override
@@ -54,6 +99,7 @@
         throws Exception {
       if (message instanceof HttpRequest request) {
         requestMethod = request.method();
+        isResponseAwaited = true;
       }
       super.encode(context, message, out);
     }
