Refuse a head that was read from parts of two answers

Cause: a late second answer that is cut in its head and the answer after it are one head to the codec: the status line of the second one becomes the tail of a header's value or a reason phrase.

A response is now decoded as a failure if its head holds a status line after its start, begins with anything but HTTP/1.0 or HTTP/1.1, or has two lengths, or a length and chunks; the connection to a server also refuses two ids or seals. The call then counts as lost on that connection, as for any malformed answer: it is sent again where its route allows that, else answered 502.

Why it works: an answer is written at once and from its first byte, so whatever part of another one precedes it in the same head, its status line is in it.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
@@ -21,7 +21,6 @@
 import org.galenapost.daemon.gateway.call.CallFormat;
 import org.galenapost.daemon.gateway.call.ResponseHead;
 import org.galenapost.daemon.log.EventLog;
-import org.galenapost.daemon.net.MergedHeads;
 import org.galenapost.daemon.net.StrictClientCodec;
 
 /**
@@ -137,7 +136,10 @@
       return;
     }
     ResponseHead head = format.readResponseHead(response);
-    MergedHeads.findSign(response).or(head::mergeSign).ifPresent(sign -> logMergedHead(head, sign));
+    if (head.mergeSign().isPresent()) {
+      fail(SendFailure.malformed("a head made of two: " + head.mergeSign().get()));
+      return;
+    }
     if (head.callId().isEmpty()) {
       fail(SendFailure.malformed("an answer with status " + head.status() + " names no call"));
       return;
@@ -161,17 +163,6 @@
     listener.onHead(head);
   }
 
-  private void logMergedHead(ResponseHead head, String sign) {
-    LOG.info("merged_head")
-        .with("id", callId)
-        .with("server", instance.text())
-        .with("connection", number)
-        .with("connection_sends", sendCount)
-        .with("status", head.status())
-        .with("sign", sign)
-        .write();
-  }
-
   private void updateReusability(HttpResponse response) {
     boolean isBodyDelimited =
         HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
--- a/daemon/src/main/java/org/galenapost/daemon/net/StrictClientCodec.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/StrictClientCodec.java
@@ -3,6 +3,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -18,7 +20,8 @@
  * Encodes requests and decodes responses like {@code HttpClientCodec}, for connections that carry
  * one request at a time. Bytes that arrive while no request waits for its response belong to none
  * and may be a part of one; decoded together with the next response they would give it their status
- * or swallow it. The codec drops them, fires {@link UnrequestedBytes} and closes the connection.
+ * or swallow it. The codec drops them, fires {@link UnrequestedBytes} and closes the connection. A
+ * head that was read from parts of two is decoded as a failure.
  */
 public final class StrictClientCodec
     extends CombinedChannelDuplexHandler<StrictClientCodec.Decoder, StrictClientCodec.Encoder> {
@@ -70,12 +73,25 @@
     private void onDecoded(Object message) {
       if (message instanceof HttpResponse response) {
         isInformational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        MergedHeads.findSign(response)
+            .filter(sign -> response.decoderResult().isSuccess())
+            .ifPresent(sign -> response.setDecoderResult(failure(sign)));
       }
       if (message instanceof LastHttpContent && !isInformational) {
         isResponseAwaited = false;
       }
     }
 
+    private static DecoderResult failure(String mergeSign) {
+      return DecoderResult.failure(new CorruptedFrameException("a head made of two: " + mergeSign));
+    }
+
+    /** The decoder would drop the length, with which the end of the response is in doubt. */
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+      throw new CorruptedFrameException("a response has both a length and chunks");
+    }
+
     private void rejectUnrequested(ChannelHandlerContext context, ByteBuf buffer) {
       int count = buffer.readableBytes();
       if (count > 0) {
