Decode the answers of store, engines and services as strictly as the servers'

The same cause elsewhere: the clients of the store, of engines and of services used the library's codec.

ClientPipelines replaces the codec of each connection by StrictClientCodec. Now idle connections with bytes are closed and the next call gets its own answer on a new one, and a merged head is an error; PlatformHttpClientTest shows the same for the store, whose write then counts as one with a lost answer.

Not mended: a whole late copy of the store's or of an engine's answer just before the next one on a kept connection; these answers name no request.

--- a/daemon/src/main/java/org/galenapost/daemon/net/BrokenConnectionGuard.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/BrokenConnectionGuard.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.channels.ClosedChannelException;
@@ -23,13 +22,8 @@
 
   /** Adds a guard behind the HTTP codec of a connection. */
   public static void addTo(Channel channel) {
-    ChannelHandlerContext codec = channel.pipeline().context(StrictClientCodec.class);
-    if (codec == null) {
-      codec = channel.pipeline().context(HttpClientCodec.class);
-    }
-    channel
-        .pipeline()
-        .addAfter(codec.name(), "broken-connection-guard", new BrokenConnectionGuard());
+    String codec = channel.pipeline().context(StrictClientCodec.class).name();
+    channel.pipeline().addAfter(codec, "broken-connection-guard", new BrokenConnectionGuard());
   }
 
   @Override
--- a/daemon/src/main/java/org/galenapost/daemon/net/HttpClients.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/HttpClients.java
@@ -49,7 +49,7 @@
             .setMaxRequestRetry(0)
             .setFollowRedirect(false)
             .setCookieStore(null)
-            .setHttpAdditionalChannelInitializer(BrokenConnectionGuard::addTo)
+            .setHttpAdditionalChannelInitializer(ClientPipelines::makeStrict)
             .setDisableUrlEncodingForBoundRequests(true)
             .build());
   }
--- a/daemon/src/main/java/org/galenapost/daemon/platform/PlatformHttpClient.java
+++ b/daemon/src/main/java/org/galenapost/daemon/platform/PlatformHttpClient.java
@@ -17,7 +17,7 @@
 import org.asynchttpclient.Response;
 import org.galenapost.core.platform.PlatformCircuitBreaker;
 import org.galenapost.core.platform.PlatformError;
-import org.galenapost.daemon.net.BrokenConnectionGuard;
+import org.galenapost.daemon.net.ClientPipelines;
 import org.galenapost.daemon.net.IpAddresses;
 import org.galenapost.daemon.net.KeepAliveProbes;
 import org.galenapost.daemon.service.Service;
@@ -57,7 +57,7 @@
             .setMaxRequestRetry(0)
             .setFollowRedirect(false)
             .setCookieStore(null)
-            .setHttpAdditionalChannelInitializer(BrokenConnectionGuard::addTo)
+            .setHttpAdditionalChannelInitializer(ClientPipelines::makeStrict)
             .setDisableUrlEncodingForBoundRequests(true)
             .setSslEngineFactory(PlatformHttpClient::rejectTls)
             .build();
--- a/daemon/src/test/java/org/galenapost/daemon/platform/PlatformHttpClientTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/platform/PlatformHttpClientTest.java
@@ -17,9 +17,12 @@
 import org.galenapost.core.platform.PlatformError;
 import org.galenapost.core.time.MonotonicClock;
 import org.galenapost.daemon.net.EventLoops;
+import org.galenapost.daemon.net.StutteringServer;
 import org.galenapost.daemon.settings.PlatformSettings;
 import org.galenapost.daemon.settings.SocketAddressSetting;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class PlatformHttpClientTest {
 
@@ -35,11 +38,7 @@
       PlatformHttpClient client = client(eventLoops, socket.getLocalPort());
       CompletableFuture<Void> server = CompletableFuture.runAsync(() -> answerHalfAndReset(socket));
 
-      Either<PlatformError, Response> result =
-          client
-              .call(client.request("GET", "/objects/servers"))
-              .toCompletableFuture()
-              .get(2 * TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+      Either<PlatformError, Response> result = resultOf(client, "/objects/servers");
 
       assertThat(result.getLeft()).isInstanceOf(PlatformError.AnswerLost.class);
       server.join();
@@ -49,6 +48,39 @@
     }
   }
 
+  /** A write that had failed was taken for done, or the next call was lost. */
+  @ParameterizedTest
+  @CsvSource({"true, false", "false, true"})
+  void doesNotGiveAnswerOfStoreTheStatusOfPartOfAnotherOne(boolean isIdle, boolean isLost)
+      throws Exception {
+    EventLoops eventLoops = new EventLoops(1);
+    String part = StutteringServer.PART_OF_HEAD;
+    try (StutteringServer store = new StutteringServer(isIdle ? part : "", isIdle ? "" : part)) {
+      PlatformHttpClient client = client(eventLoops, store.port());
+      resultOf(client, "/objects/a");
+      await().pollDelay(RESET_DELAY).until(() -> true);
+
+      Either<PlatformError, Response> result = resultOf(client, "/objects/b");
+
+      if (isLost) {
+        assertThat(result.getLeft()).isInstanceOf(PlatformError.AnswerLost.class);
+      } else {
+        assertThat(result.get().getResponseBody()).isEqualTo("/objects/b");
+      }
+      client.stop();
+    } finally {
+      eventLoops.stop();
+    }
+  }
+
+  private static Either<PlatformError, Response> resultOf(PlatformHttpClient client, String path)
+      throws Exception {
+    return client
+        .call(client.request("GET", path))
+        .toCompletableFuture()
+        .get(2 * TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
   private static PlatformHttpClient client(EventLoops eventLoops, int port) {
     PlatformSettings settings =
         new PlatformSettings(new SocketAddressSetting("127.0.0.1", port), TIMEOUT, TIMEOUT, false);
