Read what has arrived on idle connections before a call is sent on one

Cause: the pass of the event loop that takes a call in may send it before it has read what arrived on the connection, so bytes that were there first counted as the answer's.

A send to a server with idle connections begins with the next pass, after its reads; bytes close their connection, and the call takes another one. A send that is cancelled meanwhile leaves the connection to the next call. Evidence: ServerConnectionPoolTest blocks the loop while bytes arrive and then sends; the call was lost before and is answered on a new connection now. What arrives after the send is dealt with by the codec.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
@@ -29,7 +29,7 @@
  * as it does not tell whether the current call has run. Bytes that arrive while no call is in
  * flight close the connection immediately, so a call is only sent on one that holds none.
  */
-final class ServerConnection extends ChannelInboundHandlerAdapter implements ServerCall {
+final class ServerConnection extends ChannelInboundHandlerAdapter {
 
   private static final EventLog LOG = EventLog.of(ServerConnection.class);
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
@@ -277,8 +277,7 @@
    * Resets the connection, so that a request that is still on its way to the server is dropped
    * instead of being delivered after its call has ended.
    */
-  @Override
-  public void cancel() {
+  void cancel() {
     listener = null;
     if (channel.isOpen()) {
       channel.config().setOption(ChannelOption.SO_LINGER, 0);
@@ -286,18 +285,13 @@
     }
   }
 
-  @Override
-  public boolean wasSent() {
-    return true;
-  }
-
-  @Override
-  public ConnectionTrace trace() {
+  /** Returns what tells in the logs which connection carried the last send. */
+  ConnectionTrace trace() {
     return new ConnectionTrace(number, sendCount);
   }
 
-  @Override
-  public void setReading(boolean isReading) {
+  /** Pauses or resumes reading of the response. */
+  void setReading(boolean isReading) {
     channel.config().setAutoRead(isReading);
   }
 
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
@@ -17,6 +17,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.galenapost.core.instance.InstanceKey;
 import org.galenapost.core.instance.ServerInstance;
@@ -118,12 +119,15 @@
       OutgoingCall call,
       FullHttpRequest request,
       ResponseListener listener) {
-    ServerConnection pooled = takeIdle(instance.key(), call);
-    if (pooled != null) {
-      pooled.send(call, request, listener);
-      return pooled;
+    PendingSend send = new PendingSend(instance, call, request, listener);
+    if (idleConnections.containsKey(instance.key())) {
+      // Begins after the next reads, so that bytes that have arrived on an idle connection close
+      // it.
+      loop.schedule(send::begin, 0, TimeUnit.NANOSECONDS);
+    } else {
+      send.begin();
     }
-    return open(instance, call, request, listener);
+    return send;
   }
 
   /** Returns the connection that was used last, or null if there is none for the call. */
@@ -146,49 +150,6 @@
     return null;
   }
 
-  private ServerCall open(
-      ServerInstance instance,
-      OutgoingCall call,
-      FullHttpRequest request,
-      ResponseListener listener) {
-    openedConnectionCount++;
-    StrictClientCodec codec = new StrictClientCodec(DECODER);
-    ServerConnection connection =
-        new ServerConnection(
-            openedConnectionCount, instance.key(), format, codec, this::returnToPool);
-    ConnectingCall connectingCall = new ConnectingCall(connection);
-    ChannelFuture connecting =
-        bootstrap.clone().handler(initializer(codec, connection)).connect(addresses.of(instance));
-    connectingCall.channel = connecting.channel();
-    // Sends in a task of its own, so that a caller's close that is read in the same pass of the
-    // event loop cancels the call first.
-    connecting.addListener(
-        (ChannelFuture done) ->
-            loop.execute(() -> onConnected(connectingCall, done, call, request, listener)));
-    return connectingCall;
-  }
-
-  private static void onConnected(
-      ConnectingCall connecting,
-      ChannelFuture connected,
-      OutgoingCall call,
-      FullHttpRequest request,
-      ResponseListener listener) {
-    if (connecting.isCancelled) {
-      ReferenceCountUtil.release(request);
-      connected.channel().close();
-    } else if (!connected.isSuccess()) {
-      ReferenceCountUtil.release(request);
-      listener.onFailure(SendFailure.unreachable(connected.cause()));
-    } else if (!connected.channel().isActive()) {
-      ReferenceCountUtil.release(request);
-      listener.onFailure(SendFailure.unreachable(new ClosedChannelException()));
-    } else {
-      connecting.isOpen = true;
-      connecting.connection.send(call, request, listener);
-    }
-  }
-
   private static ChannelInitializer<Channel> initializer(
       StrictClientCodec codec, ServerConnection connection) {
     return new ChannelInitializer<>() {
@@ -227,41 +188,105 @@
     return !isUsable;
   }
 
-  /** A send whose connection may not be open yet. */
-  private static final class ConnectingCall implements ServerCall {
+  /** A send whose connection may not be chosen or open yet. */
+  private final class PendingSend implements ServerCall {
 
-    private final ServerConnection connection;
-    private Channel channel;
-    private boolean isOpen;
+    private final ServerInstance instance;
+    private final OutgoingCall call;
+    private final FullHttpRequest request;
+    private final ResponseListener listener;
+    private Optional<ServerConnection> connection = Optional.empty();
+    private Optional<Channel> connecting = Optional.empty();
+    private boolean isSent;
     private boolean isCancelled;
 
-    ConnectingCall(ServerConnection connection) {
-      this.connection = connection;
+    PendingSend(
+        ServerInstance instance,
+        OutgoingCall call,
+        FullHttpRequest request,
+        ResponseListener listener) {
+      this.instance = instance;
+      this.call = call;
+      this.request = request;
+      this.listener = listener;
+    }
+
+    void begin() {
+      if (isCancelled) {
+        ReferenceCountUtil.release(request);
+        return;
+      }
+      ServerConnection idle = takeIdle(instance.key(), call);
+      if (idle == null) {
+        connect();
+      } else {
+        sendOn(idle);
+      }
+    }
+
+    private void connect() {
+      openedConnectionCount++;
+      StrictClientCodec codec = new StrictClientCodec(DECODER);
+      ServerConnection opened =
+          new ServerConnection(
+              openedConnectionCount,
+              instance.key(),
+              format,
+              codec,
+              ServerConnectionPool.this::returnToPool);
+      ChannelFuture connected =
+          bootstrap.clone().handler(initializer(codec, opened)).connect(addresses.of(instance));
+      connection = Optional.of(opened);
+      connecting = Optional.of(connected.channel());
+      // Sends in a task of its own, so that a caller's close that is read in the same pass of the
+      // event loop cancels the call first.
+      connected.addListener((ChannelFuture done) -> loop.execute(() -> onConnected(done, opened)));
+    }
+
+    private void onConnected(ChannelFuture connected, ServerConnection opened) {
+      if (isCancelled) {
+        ReferenceCountUtil.release(request);
+        connected.channel().close();
+      } else if (!connected.isSuccess()) {
+        ReferenceCountUtil.release(request);
+        listener.onFailure(SendFailure.unreachable(connected.cause()));
+      } else if (!connected.channel().isActive()) {
+        ReferenceCountUtil.release(request);
+        listener.onFailure(SendFailure.unreachable(new ClosedChannelException()));
+      } else {
+        sendOn(opened);
+      }
+    }
+
+    private void sendOn(ServerConnection open) {
+      connection = Optional.of(open);
+      isSent = true;
+      open.send(call, request, listener);
     }
 
     @Override
     public void cancel() {
       isCancelled = true;
-      if (isOpen) {
-        connection.cancel();
+      if (isSent) {
+        connection.ifPresent(ServerConnection::cancel);
       } else {
-        channel.close();
+        connecting.ifPresent(Channel::close);
       }
     }
 
     @Override
     public boolean wasSent() {
-      return isOpen;
+      return isSent;
     }
 
     @Override
     public ConnectionTrace trace() {
-      return connection.trace();
+      return connection.map(ServerConnection::trace).orElse(ConnectionTrace.NONE);
     }
 
     @Override
     public void setReading(boolean isReading) {
-      channel.config().setAutoRead(isReading);
+      connection.ifPresent(current -> current.setReading(isReading));
     }
   }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPoolTest.java
@@ -0,0 +1,116 @@
+package org.galenapost.daemon.gateway.upstream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import org.galenapost.core.instance.ServerInstance;
+import org.galenapost.core.time.MonotonicClock;
+import org.galenapost.daemon.net.EventLoops;
+import org.galenapost.daemon.net.StutteringServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class ServerConnectionPoolTest {
+
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration ARRIVAL_TIME = Duration.ofMillis(100);
+
+  private final EventLoops loops = new EventLoops(1);
+  private final EventLoop loop = loops.group().next();
+  private final ServerConnectionPool pool =
+      new ServerConnectionPool(
+          loop,
+          new TestCallFormat(),
+          MonotonicClock.system(),
+          CONNECT_TIMEOUT,
+          ServerAddresses.announced());
+  private StutteringServer server;
+
+  @BeforeEach
+  void start() throws IOException {
+    server = new StutteringServer("", "");
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    pool.stop();
+    server.close();
+    loops.stop();
+  }
+
+  @Test
+  void keepsConnectionOfSoundServer() {
+    answerTo("call-1");
+    answerTo("call-2");
+
+    assertThat(server.connectionCount()).isEqualTo(1);
+  }
+
+  /** The bytes had arrived before the send, but were read after it, and the call was lost. */
+  @Test
+  void sendsNothingOnConnectionWhoseUnrequestedBytesAreNotReadYet() {
+    answerTo("call-1");
+    RecordingResponseListener listener = new RecordingResponseListener();
+
+    loop.execute(
+        () -> {
+          receiveUnrequested("noise");
+          send("call-2", listener);
+        });
+
+    await().until(() -> listener.isComplete() || listener.failure().isPresent());
+    assertThat(listener.failure()).isEmpty();
+    assertThat(server.connectionCount()).isEqualTo(2);
+  }
+
+  @Test
+  void leavesIdleConnectionToTheNextCallIfTheSendIsCancelled() {
+    answerTo("call-1");
+    RecordingResponseListener listener = new RecordingResponseListener();
+
+    loop.submit(() -> send("call-2", listener).cancel()).syncUninterruptibly();
+    answerTo("call-3");
+
+    assertThat(listener.head()).isEmpty();
+    assertThat(listener.failure()).isEmpty();
+    assertThat(server.connectionCount()).isEqualTo(1);
+  }
+
+  /** Blocks the event loop until the bytes have arrived. */
+  private void receiveUnrequested(String text) {
+    try {
+      server.writeUnrequested(text);
+      Thread.sleep(ARRIVAL_TIME.toMillis());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void answerTo(String callId) {
+    RecordingResponseListener listener = new RecordingResponseListener();
+    loop.execute(() -> send(callId, listener));
+    await().until(listener::isComplete);
+  }
+
+  private ServerCall send(String callId, ResponseListener listener) {
+    ServerInstance instance =
+        new ServerInstance("i-1", 1, 0, "app", "127.0.0.1", server.port(), "z1", 6, false, "v1");
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1, HttpMethod.GET, "/read", Unpooled.EMPTY_BUFFER);
+    request.headers().set(TestCallFormat.CALL_ID, callId);
+    return pool.send(instance, new OutgoingCall(callId, true), request, listener);
+  }
+}
--- a/daemon/src/test/java/org/galenapost/daemon/net/StutteringServer.java
+++ b/daemon/src/test/java/org/galenapost/daemon/net/StutteringServer.java
@@ -7,11 +7,14 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * Answers each request with its path, and paths that begin with {@code /fail} with status 500. From
- * the second answer of a connection on, parts of an earlier answer come with it.
+ * Answers each request with its path, its header {@code Call-Id} and a seal, and paths that begin
+ * with {@code /fail} with status 500. From the second answer of a connection on, parts of an
+ * earlier answer come with it.
  */
 public final class StutteringServer implements AutoCloseable {
 
@@ -19,7 +22,7 @@
   public static final String PART_OF_HEAD = "HTTP/1.1 200 OK\r\nServer: stutt";
 
   private final ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-  private final AtomicInteger connectionCount = new AtomicInteger();
+  private final List<Socket> connections = new CopyOnWriteArrayList<>();
   private final String partAfterAnswers;
   private final String partBeforeAnswers;
 
@@ -36,7 +39,7 @@
         () -> {
           while (true) {
             Socket connection = socket.accept();
-            connectionCount.incrementAndGet();
+            connections.add(connection);
             startThread(() -> serve(connection));
           }
         });
@@ -49,7 +52,12 @@
 
   /** Returns the number of connections accepted so far. */
   public int connectionCount() {
-    return connectionCount.get();
+    return connections.size();
+  }
+
+  /** Writes bytes that no request asked for on the newest connection. */
+  public void writeUnrequested(String text) throws IOException {
+    write(connections.get(connections.size() - 1), text);
   }
 
   private void serve(Socket connection) throws IOException {
@@ -58,17 +66,23 @@
             new InputStreamReader(connection.getInputStream(), StandardCharsets.US_ASCII));
     String before = "";
     for (String line = requests.readLine(); line != null; line = requests.readLine()) {
-      if (line.startsWith("GET ")) {
-        String answer = before + answerTo(line.split(" ")[1]) + partAfterAnswers;
-        connection.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
-        before = partBeforeAnswers;
+      String path = line.split(" ")[1];
+      String callId = "Call-Id: none";
+      for (String header = requests.readLine(); !header.isEmpty(); header = requests.readLine()) {
+        callId = header.toLowerCase(Locale.ROOT).startsWith("call-id:") ? header : callId;
       }
+      write(connection, before + answerTo(path, callId) + partAfterAnswers);
+      before = partBeforeAnswers;
     }
   }
 
-  private static String answerTo(String path) {
-    String status = path.startsWith("/fail") ? "500 Failure" : "200 OK";
-    return "HTTP/1.1 " + status + "\r\nContent-Length: " + path.length() + "\r\n\r\n" + path;
+  private static void write(Socket connection, String text) throws IOException {
+    connection.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private static String answerTo(String path, String callId) {
+    return (path.startsWith("/fail") ? "HTTP/1.1 500 Failure\r\n" : "HTTP/1.1 200 OK\r\n")
+        + (callId + "\r\nSeal: s\r\nContent-Length: " + path.length() + "\r\n\r\n" + path);
   }
 
   @Override
