Let the stand-in of a server cut its late copies, and check every caller's status

It sends them now in seven forms (LateCopyForm): whole or in part, while a connection is idle, before the next answer or around it.

GatewayMixedAnswersTest compares the status that each caller gets with the one that its server answered, also for calls handed over.

--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFaults.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFaults.java
@@ -9,6 +9,7 @@
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import org.galenapost.scenarios.process.ManagedProcess;
+import org.galenapost.standins.gateway.LateCopyForm;
 import org.galenapost.standins.gateway.ServerStandin.Behaviour;
 import org.galenapost.standins.gateway.StoreEndpoint.FaultMode;
 import org.galenapost.standins.gateway.StoreStandin;
@@ -200,7 +201,7 @@
   private void fillServers(double refusalShare, double copyShare) {
     for (SoakServer server : fleet.servers()) {
       server.currentInstance().setRefusalShare(refusalShare);
-      server.currentInstance().setLateCopyShare(copyShare);
+      server.currentInstance().setLateCopies(copyShare, LateCopyForm.WHOLE);
     }
   }
 
--- a/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
@@ -46,7 +45,8 @@
   private final List<String> abortedCallIds = new CopyOnWriteArrayList<>();
   private final AtomicInteger remainingRefusals = new AtomicInteger();
   private final AtomicInteger remainingFailures = new AtomicInteger();
-  private final Map<String, String> lateCopies = new ConcurrentHashMap<>();
+  private final LateCopies lateCopies;
+  private final Map<String, Integer> answeredStatuses = new ConcurrentHashMap<>();
   private volatile Behaviour behaviour = Behaviour.SERVING;
   private volatile Duration processingTime = Duration.ofMillis(5);
   private volatile Duration eventInterval = Duration.ofMillis(10);
@@ -55,7 +55,7 @@
   private volatile Optional<String> brittleness = Optional.empty();
   private volatile boolean isLeaving;
   private volatile double refusalShare;
-  private volatile double lateCopyShare;
+  private volatile double failureShare;
   private volatile double undelimitedShare;
   private volatile boolean namesCalls = true;
   private volatile boolean sealsFailures = true;
@@ -138,6 +138,7 @@
   public ServerStandin(String instanceId, int port, Set<String> kvBackupIds) {
     this.server = HttpServer.onPort(port);
     this.instanceId = instanceId;
+    this.lateCopies = new LateCopies(instanceId);
     this.kvBackupIds = kvBackupIds;
   }
 
@@ -231,12 +232,19 @@
     refusalShare = share;
   }
 
-  /**
-   * Sets the share of its responses, other than streams, that the server sends a second time, late:
-   * before its response to the next request on the connection.
-   */
-  public void setLateCopyShare(double share) {
-    lateCopyShare = share;
+  /** Sets the share of its responses, other than streams, that get a late copy of the form. */
+  public void setLateCopies(double share, LateCopyForm form) {
+    lateCopies.set(share, form);
+  }
+
+  /** Sets the share of calls that it runs and fails with status 500. */
+  public void setFailureShare(double share) {
+    failureShare = share;
+  }
+
+  /** Returns the status of the answer to each call that it ran, by the id of the call. */
+  public Map<String, Integer> answeredStatuses() {
+    return Map.copyOf(answeredStatuses);
   }
 
   /**
@@ -323,7 +331,7 @@
     if (namesCalls) {
       exchange.setResponseHeader("X-Attempt-Id", callId);
     }
-    Optional.ofNullable(lateCopies.remove(exchange.connectionId())).ifPresent(exchange::replyRaw);
+    lateCopies.onRequest(exchange);
     boolean isMisdirected =
         !headers.getOrDefault("X-Expect-Instance", instanceId).equals(instanceId);
     if (isMisdirected || behaviour == Behaviour.MISDIRECTING) {
@@ -383,17 +391,15 @@
 
   private void reply(
       Exchange exchange, String callId, int status, Map<String, String> headers, String body) {
+    answeredStatuses.put(callId, status);
     exchange.reply(status, headers, body);
-    if (isDrawn(lateCopyShare)) {
-      Map<String, String> copied = new TreeMap<>(headers);
-      copied.put("X-Attempt-Id", callId);
-      lateCopies.put(exchange.connectionId(), RawAnswers.text(status, copied, body));
-    }
+    lateCopies.onAnswer(exchange, server.eventLoop(), callId, status, headers, body);
   }
 
   private void respond(Exchange exchange, String callId, Map<String, String> headers) {
     Map<String, String> sealed = Map.of("X-Attempt-Id", callId, "X-Response-Seal", sealOf(callId));
-    switch (takeOne(remainingFailures) ? Behaviour.FAILING : behaviour) {
+    boolean isFailed = takeOne(remainingFailures) || isDrawn(failureShare);
+    switch (isFailed ? Behaviour.FAILING : behaviour) {
       case SILENT -> {}
       case RESETTING -> exchange.reset();
       case CRASHED_BY_CALLS -> crashOrRespond(exchange, headers, sealed);
@@ -408,7 +414,7 @@
         reply(exchange, callId, failureStatus, own, "failed by " + instanceId);
       }
       case UNSEALED -> exchange.reply(OK, Map.of("X-Attempt-Id", callId), "forged");
-      case CROSSING -> streamOrSendTwoResponses(exchange, callId, headers, sealed);
+      case CROSSING -> streamOrSendTwoResponses(exchange, headers, sealed);
       default -> respondNormally(exchange, headers, sealed);
     }
   }
@@ -439,21 +445,16 @@
   }
 
   private void streamOrSendTwoResponses(
-      Exchange exchange, String callId, Map<String, String> headers, Map<String, String> sealed) {
+      Exchange exchange, Map<String, String> headers, Map<String, String> sealed) {
     if (headers.containsKey("X-Token-Counts")) {
       respondNormally(exchange, headers, sealed);
     } else {
-      sendTwoResponses(exchange, callId);
+      Map<String, String> other = Map.of("X-Attempt-Id", "other", "X-Response-Seal", "other-seal");
+      exchange.replyRaw(
+          RawAnswers.text(OK, other, "other answer") + RawAnswers.text(OK, sealed, ownBody()));
     }
   }
 
-  private void sendTwoResponses(Exchange exchange, String callId) {
-    Map<String, String> other = Map.of("X-Attempt-Id", "other", "X-Response-Seal", "seal-of-other");
-    Map<String, String> own = Map.of("X-Attempt-Id", callId, "X-Response-Seal", sealOf(callId));
-    exchange.replyRaw(
-        RawAnswers.text(OK, other, "other answer") + RawAnswers.text(OK, own, ownBody()));
-  }
-
   private String ownBody() {
     return bodyBytes > 0 ? "x".repeat(bodyBytes) : bodyOf(instanceId);
   }
