Close the listening socket of a crashed stand-in before its connections

Trace: of five servers that crashed, three were still reachable when the daemon checked, in the same millisecond in which it saw its connection end (lost_server_checked reachable=true), so their losses did not count against the call. HttpServer.crash() closed connections on the calling event loop while the listening socket was closed by another one, later if that thread had to wait.

A process that dies accepts nothing after its connections have ended, so the stand-in closes them once it no longer listens. The test's bound is unchanged.

--- a/standins/src/main/java/org/galenapost/standins/http/HttpServer.java
+++ b/standins/src/main/java/org/galenapost/standins/http/HttpServer.java
@@ -117,10 +117,12 @@
     connections.close();
   }
 
-  /** Stops listening and closes every connection without waiting, as if the process had died. */
+  /**
+   * Stops listening and then closes every connection, without waiting, as if the process had died:
+   * who sees the end of a connection finds that no new one is accepted.
+   */
   public void crash() {
-    listener.close();
-    connections.close();
+    listener.close().addListener(closed -> connections.close());
   }
 
   /** Stops listening, closes every connection and shuts the event loop down. */
