Keep no connection of a server that sent bytes of no call lately

Such bytes cannot be told from the answer's before the call is sent, and an unsafe call that is lost cannot be sent again. Cause: a connection that has carried an answer may still carry a second, late one, and a server that sends one copy sends more.

Sound servers keep theirs; the servers that stutter get a new connection for each call, never more at a time than calls in flight.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -410,6 +410,7 @@
     metrics.registerGauge("galenapost.gateway.cell.peers", cells::peerCount);
     metrics.registerGauge(
         "galenapost.gateway.server.connections.opened", context.pool()::openedConnectionCount);
+    metrics.registerGauge("galenapost.gateway.server.faults", context.pool()::serverFaultCount);
     metrics.registerGauge("galenapost.peer.sent.bytes", bus.traffic()::sentBytes);
     metrics.registerGauge("galenapost.peer.received.bytes", bus.traffic()::receivedBytes);
   }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
@@ -44,6 +44,7 @@
   private final InstanceKey instance;
   private final CallFormat format;
   private final Consumer<ServerConnection> onIdle;
+  private final Consumer<InstanceKey> onServerFault;
   private final StrictClientCodec codec;
   private Channel channel;
   private ChannelFuture requestWrite;
@@ -62,12 +63,14 @@
       InstanceKey instance,
       CallFormat format,
       StrictClientCodec codec,
-      Consumer<ServerConnection> onIdle) {
+      Consumer<ServerConnection> onIdle,
+      Consumer<InstanceKey> onServerFault) {
     this.number = number;
     this.instance = instance;
     this.format = format;
     this.codec = codec;
     this.onIdle = onIdle;
+    this.onServerFault = onServerFault;
   }
 
   InstanceKey instance() {
@@ -153,6 +156,7 @@
           .with("connection_sends", sendCount)
           .with("status", head.status())
           .write();
+      onServerFault.accept(instance);
       isResponseSkipped = true;
       isReusable = false;
       return;
@@ -257,11 +261,15 @@
           .with("connection_sends", sendCount)
           .with("bytes", stray.count())
           .write();
+      onServerFault.accept(instance);
     }
     context.fireUserEventTriggered(event);
   }
 
   private void fail(SendFailure failure) {
+    if (listener != null && failure.cause() == SendFailure.Cause.MALFORMED) {
+      onServerFault.accept(instance);
+    }
     ResponseListener failedListener = listener;
     listener = null;
     isComplete = false;
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
@@ -28,7 +28,10 @@
 import org.galenapost.daemon.net.StrictClientCodec;
 import org.galenapost.daemon.service.Service;
 
-/** Sends calls over pooled connections. Must be used on one event loop. */
+/**
+ * Sends calls over pooled connections. Connections of servers that stutter are not kept. Must be
+ * used on one event loop.
+ */
 public final class ServerConnectionPool implements Service {
 
   private static final Duration SWEEP_PERIOD = Duration.ofSeconds(1);
@@ -52,6 +55,7 @@
   private final ServerAddresses addresses;
   private final Bootstrap bootstrap;
   private final Map<InstanceKey, Deque<ServerConnection>> idleConnections = new HashMap<>();
+  private final StutteringServers stutteringServers;
   private long openedConnectionCount;
 
   /**
@@ -73,6 +77,7 @@
     this.format = format;
     this.clock = clock;
     this.addresses = addresses;
+    this.stutteringServers = new StutteringServers(clock);
     this.bootstrap =
         new Bootstrap()
             .group(loop)
@@ -105,6 +110,11 @@
     return openedConnectionCount;
   }
 
+  /** Returns how often a server has sent bytes that belong to no call or are no answer to it. */
+  public long serverFaultCount() {
+    return stutteringServers.faultCount();
+  }
+
   /**
    * Sends a call.
    *
@@ -162,7 +172,19 @@
     };
   }
 
+  private void stopKeepingConnections(InstanceKey server) {
+    stutteringServers.recordFault(server);
+    Deque<ServerConnection> idle = idleConnections.remove(server);
+    if (idle != null) {
+      idle.forEach(ServerConnection::close);
+    }
+  }
+
   private void returnToPool(ServerConnection connection) {
+    if (stutteringServers.contains(connection.instance())) {
+      connection.close();
+      return;
+    }
     connection.markIdleSince(clock.nanos());
     idleConnections
         .computeIfAbsent(connection.instance(), key -> new ArrayDeque<>())
@@ -170,6 +192,7 @@
   }
 
   private void removeUnusable() {
+    stutteringServers.removeExpired();
     Iterator<Deque<ServerConnection>> pools = idleConnections.values().iterator();
     while (pools.hasNext()) {
       Deque<ServerConnection> pool = pools.next();
@@ -233,7 +256,8 @@
               instance.key(),
               format,
               codec,
-              ServerConnectionPool.this::returnToPool);
+              ServerConnectionPool.this::returnToPool,
+              ServerConnectionPool.this::stopKeepingConnections);
       ChannelFuture connected =
           bootstrap.clone().handler(initializer(codec, opened)).connect(addresses.of(instance));
       connection = Optional.of(opened);
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/MixedAnswersProperties.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/MixedAnswersProperties.java
@@ -155,7 +155,8 @@
               new InstanceKey("i-1", Instant.EPOCH.toEpochMilli()),
               new TestCallFormat(),
               codec,
-              idle -> {});
+              idle -> {},
+              faultyServer -> {});
       channel = new EmbeddedChannel(codec, connection);
       BrokenConnectionGuard.addTo(channel);
       connection.attach(channel);
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPoolTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPoolTest.java
@@ -13,7 +13,6 @@
 import java.io.UncheckedIOException;
 import java.time.Duration;
 import org.galenapost.core.instance.ServerInstance;
-import org.galenapost.core.time.MonotonicClock;
 import org.galenapost.daemon.net.EventLoops;
 import org.galenapost.daemon.net.StutteringServer;
 import org.junit.jupiter.api.AfterEach;
@@ -27,11 +26,12 @@
 
   private final EventLoops loops = new EventLoops(1);
   private final EventLoop loop = loops.group().next();
+  private volatile Duration passed = Duration.ZERO;
   private final ServerConnectionPool pool =
       new ServerConnectionPool(
           loop,
           new TestCallFormat(),
-          MonotonicClock.system(),
+          () -> System.nanoTime() + passed.toNanos(),
           CONNECT_TIMEOUT,
           ServerAddresses.announced());
   private StutteringServer server;
@@ -73,6 +73,23 @@
     assertThat(server.connectionCount()).isEqualTo(2);
   }
 
+  /** A late copy that arrives after the next send on the connection ends that call. */
+  @Test
+  void keepsNoConnectionOfServerThatSentUnrequestedBytesLately() throws IOException {
+    answerTo("call-1");
+    server.writeUnrequested("noise");
+    await().pollDelay(ARRIVAL_TIME).until(() -> true);
+
+    answerTo("call-2");
+    answerTo("call-3");
+    assertThat(server.connectionCount()).isEqualTo(3);
+
+    passed = StutteringServers.MEMORY.plusSeconds(1);
+    answerTo("call-4");
+    answerTo("call-5");
+    assertThat(server.connectionCount()).isEqualTo(4);
+  }
+
   @Test
   void leavesIdleConnectionToTheNextCallIfTheSendIsCancelled() {
     answerTo("call-1");
