--- a/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/RecordingResponseListener.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/RecordingResponseListener.java
@@ -6,7 +6,7 @@
 import org.galenapost.daemon.gateway.call.ResponseHead;
 
 /** Keeps what a caller would get as the response to one send. */
-final class RecordingResponseListener implements ResponseListener {
+class RecordingResponseListener implements ResponseListener {
 
   private final StringBuilder body = new StringBuilder();
   private Optional<ResponseHead> head = Optional.empty();
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPoolTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPoolTest.java
@@ -73,6 +73,31 @@
     assertThat(server.connectionCount()).isEqualTo(2);
   }
 
+  /**
+   * A call that a handler of the network starts was sent in the same pass, without another read.
+   */
+  @Test
+  void sendsNothingOnConnectionWithUnreadBytesWhenAnotherAnswerStartsTheSend() {
+    answerTo("call-1");
+    RecordingResponseListener listener = new RecordingResponseListener();
+
+    loop.execute(
+        () ->
+            send(
+                "call-2",
+                new RecordingResponseListener() {
+                  @Override
+                  public void onComplete() {
+                    receiveUnrequested("noise");
+                    send("call-3", listener);
+                  }
+                }));
+
+    await().until(() -> listener.isComplete() || listener.failure().isPresent());
+    assertThat(listener.failure()).isEmpty();
+    assertThat(server.connectionCount()).isEqualTo(2);
+  }
+
   @Test
   void leavesIdleConnectionToTheNextCallIfTheSendIsCancelled() {
     answerTo("call-1");
