Read once more before a call is sent that a handler of the network starts

Cause: what a handler schedules runs in the same pass of the event loop; the calls of callers begin in such handlers, so the next pass, after its reads, was only waited for in tasks.

A task of the pass now schedules the send, which therefore runs in the next pass. Evidence: ServerConnectionPoolTest .sendsNothingOnConnectionWithUnreadBytesWhenAnotherAnswerStartsTheSend failed before (malformed, 1 connection) and holds; the other three cases hold.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
@@ -122,8 +122,8 @@
     PendingSend send = new PendingSend(instance, call, request, listener);
     if (idleConnections.containsKey(instance.key())) {
       // Begins after the next reads, so that bytes that have arrived on an idle connection close
-      // it.
-      loop.schedule(send::begin, 0, TimeUnit.NANOSECONDS);
+      // it. Tasks run in the same pass of the event loop; what they schedule runs in the next one.
+      loop.execute(() -> loop.schedule(send::begin, 0, TimeUnit.NANOSECONDS));
     } else {
       send.begin();
     }
