Complete an answer of store or engine after all bytes read with it

What callers saw: the answer to the next call of a chain, as to the next page of a list of the store, is a late copy of another answer, or is lost. Cause: the client library returns the connection to its pool and completes the answer while bytes of the same read are not decoded yet; a request that is then sent at once makes the codec await an answer, and those bytes count as it.

The end of an answer now waits for the end of the read, in which the codec closes a connection with further bytes, so the next request takes another connection.

--- a/daemon/src/main/java/org/galenapost/daemon/net/ClientPipelines.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/ClientPipelines.java
@@ -11,11 +11,13 @@
 
   /**
    * Replaces the library's codec by {@link StrictClientCodec}, with the same limits, and adds a
-   * {@link BrokenConnectionGuard}.
+   * {@link BrokenConnectionGuard} and a {@link ResponseEndDelay}.
    */
   public static void makeStrict(Channel channel) {
     String codec = channel.pipeline().context(HttpClientCodec.class).name();
     channel.pipeline().replace(codec, codec, new StrictClientCodec(new HttpDecoderConfig()));
     BrokenConnectionGuard.addTo(channel);
+    String guard = channel.pipeline().context(BrokenConnectionGuard.class).name();
+    channel.pipeline().addAfter(guard, "response-end-delay", new ResponseEndDelay());
   }
 }
