Fail a send at once if a cut copy has taken in the answer

Cause: the copy names another call and is skipped by its length, so the answer that follows is read as the rest of its body, and the connection waits for more.

A status line inside a skipped body now fails the send: a call that may be repeated goes to another server while there is time, one that may not is answered 502 at once. EmbeddedHead finds it across parts of the body. The answer itself is not taken from there, as nothing says where it would end.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
@@ -50,6 +50,7 @@
   private ChannelFuture requestWrite;
   private ResponseListener listener;
   private String callId;
+  private EmbeddedHead embeddedHead = new EmbeddedHead();
   private boolean hasHead;
   private boolean isResponseSkipped;
   private boolean isReusable;
@@ -138,6 +139,7 @@
       isResponseSkipped = true;
       return;
     }
+    embeddedHead = new EmbeddedHead();
     ResponseHead head = format.readResponseHead(response);
     if (head.mergeSign().isPresent()) {
       fail(SendFailure.malformed("a head made of two: " + head.mergeSign().get()));
@@ -191,11 +193,9 @@
       return;
     }
     boolean isLast = content instanceof LastHttpContent;
+    embeddedHead.add(content.content());
     if (isResponseSkipped) {
-      if (isLast) {
-        isResponseSkipped = false;
-        codec.awaitFurtherResponse();
-      }
+      onSkippedContent(isLast);
       return;
     }
     if (!hasHead) {
@@ -210,6 +210,16 @@
     }
   }
 
+  /** Fails the send if the skipped response may have taken in the response to the call. */
+  private void onSkippedContent(boolean isLast) {
+    if (embeddedHead.isFound()) {
+      fail(SendFailure.malformed("the answer to another call was cut and holds a further one"));
+    } else if (isLast) {
+      isResponseSkipped = false;
+      codec.awaitFurtherResponse();
+    }
+  }
+
   /**
    * Completes the call only here, so that stray bytes of the same read close the connection first.
    */
