Do not complete a cut answer with the answer that follows on its connection

What callers could see: a success with the server's seal and the right length whose tail is the head of another answer. Cause: a server that cuts its answer and keeps the connection sends a further answer, or a copy, into what the length still leaves open; an answer without a length takes in all that comes before the end.

A body that holds a status line and a header that names a call fails the send, and so does a status line in a body that is followed by bytes of no call. A status line alone does not: a service may return such text. What remains: an answer that is cut so late that neither sign is in its body, and a service that returns whole answers of the platform as text.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/call/CallFormat.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/call/CallFormat.java
@@ -47,6 +47,9 @@
   /** Names a call in the headers of a response. */
   void writeCallId(String callId, HttpHeaders headers);
 
+  /** Returns whether the text of a head of a response, perhaps a part of it, names a call. */
+  boolean namesCall(String headText);
+
   /** Reads the head of a server's response. */
   ResponseHead readResponseHead(HttpResponse response);
 }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
@@ -55,6 +55,7 @@
   private boolean isResponseSkipped;
   private boolean isReusable;
   private boolean isComplete;
+  private boolean isFollowedByBytes;
   private Duration idleLimit = DEFAULT_IDLE_LIMIT;
   private long idleSinceNanos;
   private int sendCount;
@@ -110,6 +111,7 @@
     isResponseSkipped = false;
     isReusable = true;
     isComplete = false;
+    isFollowedByBytes = false;
     requestWrite = channel.writeAndFlush(request);
   }
 
@@ -201,6 +203,10 @@
     if (!hasHead) {
       return;
     }
+    if (embeddedHead.isFound() && format.namesCall(embeddedHead.text())) {
+      fail(SendFailure.malformed("the body holds the head of another answer"));
+      return;
+    }
     ByteBuf part = content.content();
     if (part.isReadable()) {
       listener.onBody(part);
@@ -233,6 +239,10 @@
   }
 
   private void complete() {
+    if (embeddedHead.isFound() && isFollowedByBytes) {
+      fail(SendFailure.malformed("the body holds a status line, and bytes follow it"));
+      return;
+    }
     ResponseListener completedListener = listener;
     listener = null;
     isComplete = false;
@@ -265,6 +275,7 @@
   public void userEventTriggered(ChannelHandlerContext context, Object event) {
     if (event instanceof StrictClientCodec.UnrequestedBytes stray) {
       isReusable = false;
+      isFollowedByBytes = true;
       LOG.info("stray_bytes")
           .with("server", instance.text())
           .with("connection", number)
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/SwallowedAnswersTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/SwallowedAnswersTest.java
@@ -53,6 +53,60 @@
     assertThat(caller.isComplete() || caller.failure().isPresent()).isTrue();
   }
 
+  @Test
+  void doesNotCompleteCutAnswerWithItsOwnSecondCopy() {
+    String text = FIRST.text();
+
+    RecordingResponseListener caller =
+        exchange(HttpMethod.GET, "call-1", text.substring(0, text.length() - 100) + text);
+
+    assertOwnBodyOrFailure(caller, FIRST);
+  }
+
+  @Test
+  void doesNotCompleteCutAnswerWithCopyOfAnotherOne() {
+    exchange(HttpMethod.GET, "call-2", SECOND.text());
+    String text = FIRST.text();
+
+    RecordingResponseListener caller =
+        exchange(HttpMethod.GET, "call-1", text.substring(0, text.length() - 100) + SECOND.text());
+
+    assertOwnBodyOrFailure(caller, FIRST);
+  }
+
+  @Test
+  void completesAnswerWhoseBodyHoldsStatusLineOnly() {
+    RawResponse transcript =
+        new RawResponse(200, "call-1", "seal-1", "got HTTP/1.1 503 Busy\r\nfrom afar", false, 0);
+
+    RecordingResponseListener caller = exchange(HttpMethod.GET, "call-1", transcript.text());
+
+    assertThat(caller.isComplete()).as("failure: %s", caller.failure()).isTrue();
+    assertThat(caller.body()).isEqualTo(transcript.body());
+  }
+
+  @Test
+  void doesNotAppendLateCopyToAnswerThatEndsWithItsConnection() {
+    exchange(HttpMethod.GET, "call-2", SECOND.text());
+
+    RecordingResponseListener caller =
+        exchange(
+            HttpMethod.GET,
+            "call-1",
+            "HTTP/1.1 200 OK\r\nCall-Id: call-1\r\nSeal: seal-1\r\n\r\n"
+                + FIRST.body()
+                + SECOND.text());
+    channel.close();
+
+    assertOwnBodyOrFailure(caller, FIRST);
+  }
+
+  private static void assertOwnBodyOrFailure(RecordingResponseListener caller, RawResponse answer) {
+    if (caller.isComplete()) {
+      assertThat(caller.body()).isEqualTo(answer.body());
+    }
+  }
+
   private RecordingResponseListener exchange(HttpMethod method, String callId, String received) {
     RecordingResponseListener caller = new RecordingResponseListener();
     connection.send(
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/TestCallFormat.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/TestCallFormat.java
@@ -40,6 +40,11 @@
             : Optional.empty());
   }
 
+  @Override
+  public boolean namesCall(String headText) {
+    return headText.contains("\r\n" + CALL_ID + ":");
+  }
+
   @Override
   public Either<String, CallHead> readCallHead(HttpRequest request) {
     throw new AssertionError("no caller in these tests");
