Send HEAD on a connection of its own

What callers could see: a HEAD, or the call after one, lost or without an answer until its deadline, when a late copy comes beside it. Cause: the end of an answer to HEAD follows from the request, and the codec takes the method of the request in flight for every answer, so the copy of an answer with a body before one to HEAD, or the other way round, is read with the wrong length (both shown by the review).

HEAD takes a new connection, which is not kept. Evidence: ServerConnectionPoolTest .sendsHeadOnConnectionOfItsOwn; on one kept connection the codec cannot tell such copies, so the pool keeps the case from arising. Other calls keep theirs.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -109,7 +110,7 @@
     listener = responseListener;
     hasHead = false;
     isResponseSkipped = false;
-    isReusable = true;
+    isReusable = !HttpMethod.HEAD.equals(request.method());
     isComplete = false;
     isFollowedByBytes = false;
     requestWrite = channel.writeAndFlush(request);
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
@@ -239,7 +240,9 @@
         ReferenceCountUtil.release(request);
         return;
       }
-      ServerConnection idle = takeIdle(instance.key(), call);
+      // A late answer to HEAD, or one before it, has an end that the codec cannot tell.
+      boolean isHead = HttpMethod.HEAD.equals(request.method());
+      ServerConnection idle = isHead ? null : takeIdle(instance.key(), call);
       if (idle == null) {
         connect();
       } else {
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPoolTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPoolTest.java
@@ -115,6 +115,19 @@
     assertThat(server.connectionCount()).isEqualTo(2);
   }
 
+  /** A late copy before or after an answer without a body was read with the wrong length. */
+  @Test
+  void sendsHeadOnConnectionOfItsOwn() {
+    answerTo("call-1");
+
+    answerTo(HttpMethod.HEAD, "call-2");
+    answerTo("call-3");
+
+    assertThat(server.connectionCount()).isEqualTo(2);
+    answerTo(HttpMethod.HEAD, "call-4");
+    assertThat(server.connectionCount()).isEqualTo(3);
+  }
+
   @Test
   void leavesIdleConnectionToTheNextCallIfTheSendIsCancelled() {
     answerTo("call-1");
@@ -141,17 +154,24 @@
   }
 
   private void answerTo(String callId) {
+    answerTo(HttpMethod.GET, callId);
+  }
+
+  private void answerTo(HttpMethod method, String callId) {
     RecordingResponseListener listener = new RecordingResponseListener();
-    loop.execute(() -> send(callId, listener));
+    loop.execute(() -> send(method, callId, listener));
     await().until(listener::isComplete);
   }
 
   private ServerCall send(String callId, ResponseListener listener) {
+    return send(HttpMethod.GET, callId, listener);
+  }
+
+  private ServerCall send(HttpMethod method, String callId, ResponseListener listener) {
     ServerInstance instance =
         new ServerInstance("i-1", 1, 0, "app", "127.0.0.1", server.port(), "z1", 6, false, "v1");
     FullHttpRequest request =
-        new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1, HttpMethod.GET, "/read", Unpooled.EMPTY_BUFFER);
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/read", Unpooled.EMPTY_BUFFER);
     request.headers().set(TestCallFormat.CALL_ID, callId);
     return pool.send(instance, new OutgoingCall(callId, true), request, listener);
   }
--- a/daemon/src/test/java/org/galenapost/daemon/net/StutteringServer.java
+++ b/daemon/src/test/java/org/galenapost/daemon/net/StutteringServer.java
@@ -71,7 +71,8 @@
       for (String header = requests.readLine(); !header.isEmpty(); header = requests.readLine()) {
         callId = header.toLowerCase(Locale.ROOT).startsWith("call-id:") ? header : callId;
       }
-      write(connection, before + answerTo(path, callId) + partAfterAnswers);
+      boolean hasBody = !line.startsWith("HEAD ");
+      write(connection, before + answerTo(path, callId, hasBody) + partAfterAnswers);
       before = partBeforeAnswers;
     }
   }
@@ -80,9 +81,10 @@
     connection.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
   }
 
-  private static String answerTo(String path, String callId) {
+  private static String answerTo(String path, String callId, boolean hasBody) {
     return (path.startsWith("/fail") ? "HTTP/1.1 500 Failure\r\n" : "HTTP/1.1 200 OK\r\n")
-        + (callId + "\r\nSeal: s\r\nContent-Length: " + path.length() + "\r\n\r\n" + path);
+        + (callId + "\r\nSeal: s\r\nContent-Length: " + path.length() + "\r\n\r\n")
+        + (hasBody ? path : "");
   }
 
   @Override
