Take no change of protocol that no request asked for

Found by the review, by reading: after an unasked 101 with Upgrade the decoder passes on no further response, and the call waits for its deadline. Such a response is now an informational one like any other. The status line of a second head is also found if it is written in lower case or with other white space, which the decoder accepts.

StrictClientCodecTest shows both, the signs of a merged head one by one, and that informational responses and kept connections still work.

--- a/daemon/src/main/java/org/galenapost/daemon/net/MergedHeads.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/MergedHeads.java
@@ -13,7 +13,8 @@
  */
 public final class MergedHeads {
 
-  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+  private static final Pattern STATUS_LINE =
+      Pattern.compile("HTTP/\\d\\.\\d[ \\t]+\\d{3}", Pattern.CASE_INSENSITIVE);
 
   private MergedHeads() {}
 
--- a/daemon/src/main/java/org/galenapost/daemon/net/StrictClientCodec.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/StrictClientCodec.java
@@ -101,6 +101,12 @@
       }
     }
 
+    /** No request asks for another protocol, after which the decoder would pass on no response. */
+    @Override
+    protected boolean isSwitchingToNonHttp1Protocol(HttpResponse response) {
+      return false;
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
       return HttpMethod.HEAD.equals(requestMethod) || super.isContentAlwaysEmpty(message);
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/MixedAnswersProperties.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/MixedAnswersProperties.java
@@ -172,6 +172,7 @@
           new DefaultFullHttpRequest(
               HttpVersion.HTTP_1_1, HttpMethod.GET, "/read", Unpooled.EMPTY_BUFFER);
       connection.send(new OutgoingCall(callId, true), request, caller);
+      channel.releaseOutbound();
       receive(received);
       if (!caller.isComplete() && caller.failure().isEmpty()) {
         channel.close();
--- /dev/null
+++ b/daemon/src/test/java/org/galenapost/daemon/net/StrictClientCodecTest.java
@@ -0,0 +1,93 @@
+package org.galenapost.daemon.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class StrictClientCodecTest {
+
+  private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+  private final EmbeddedChannel channel =
+      new EmbeddedChannel(new StrictClientCodec(new HttpDecoderConfig()));
+
+  /** The status of the first of two heads was taken for that of the second. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 O",
+        "HTTP/1.1 200 OK\r\nServer: s",
+        "HTTP/1.1 200 OK\r\nServer:",
+        "HTTP/1.1 200 OK\r\nServer: s\r\n",
+        "HTTP/1.",
+        "noise "
+      })
+  void decodesHeadMadeOfTwoAsFailure(String part) {
+    assertThat(firstResponse(part + "HTTP/1.1 500 Failure\r\n\r\n").decoderResult().isFailure())
+        .isTrue();
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"http/1.1 500 Failure", "HTTP/1.1  500 Failure", "HTTP/1.1\t500 Failure"})
+  void findsStatusLineThatIsWrittenInAnotherWay(String statusLine) {
+    String head = "HTTP/1.1 200 OK\r\nServer: s" + statusLine + "\r\n\r\n";
+
+    assertThat(firstResponse(head).decoderResult().isFailure()).isTrue();
+  }
+
+  @Test
+  void decodesResponseWithLengthAndChunksAsFailure() {
+    String head = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    assertThat(firstResponse(head).decoderResult().isFailure()).isTrue();
+  }
+
+  /** The decoder passed on nothing after a change of protocol that no request had asked for. */
+  @Test
+  void decodesResponseAfterChangeOfProtocolThatNobodyAskedFor() {
+    firstResponse("HTTP/1.1 101 Switching\r\nUpgrade: other\r\nConnection: upgrade\r\n\r\n" + OK);
+
+    assertThat(channel.inboundMessages())
+        .filteredOn(HttpResponse.class::isInstance)
+        .extracting(response -> ((HttpResponse) response).status().code())
+        .containsExactly(200);
+  }
+
+  @Test
+  void closesConnectionThatReceivesBytesBeforeTheFirstRequest() {
+    receive("H");
+
+    assertThat(channel.isOpen()).isFalse();
+  }
+
+  @Test
+  void keepsConnectionWhoseResponsesAnswerRequests() {
+    firstResponse("HTTP/1.1 100 Continue\r\n\r\n" + OK);
+    firstResponse(OK);
+
+    assertThat(channel.isOpen()).isTrue();
+  }
+
+  private HttpResponse firstResponse(String received) {
+    channel.releaseInbound();
+    channel.writeOutbound(
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1, HttpMethod.GET, "/read", Unpooled.EMPTY_BUFFER));
+    receive(received);
+    return channel.readInbound();
+  }
+
+  private void receive(String text) {
+    channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+  }
+}
