--- a/daemon/src/test/java/org/galenapost/daemon/engine/HttpEngineClientTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/engine/HttpEngineClientTest.java
@@ -26,6 +26,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class HttpEngineClientTest {
 
@@ -110,6 +112,27 @@
         .isFalse();
   }
 
+  /** A merged head would refuse a stream that runs, or give a refusal the events of a stream. */
+  @ParameterizedTest
+  @CsvSource({
+    "200, HTTP/1.1 404 Not Found|Server: stutt",
+    "200, HTTP/1.1 200 OK|Server: stutt",
+    "200, HTTP/1.1 5",
+    "200, noise",
+    "404, HTTP/1.1 200 OK|Server: stutt",
+    "503, HTTP/1.1 404 Not"
+  })
+  void endsStreamAsBrokenAfterPartOfAnotherAnswer(String status, String part) {
+    String head = RESPONSE_HEAD.replace("200 OK", status + " Status");
+    String answer = part.replace("|", "\r\n") + head + chunk(0, "a") + finish(1) + done();
+    serve(output -> output.write(answer.getBytes(StandardCharsets.US_ASCII)));
+
+    client.attach(server(), ATTEMPT, 0, listener());
+
+    await().untilAsserted(() -> assertThat(ends).containsExactly(StreamEnd.RESET));
+    assertThat(events).isEmpty();
+  }
+
   @Test
   void stopsReadingWhilePaused() {
     // GIVEN
--- a/daemon/src/test/java/org/galenapost/daemon/net/StutteringServer.java
+++ b/daemon/src/test/java/org/galenapost/daemon/net/StutteringServer.java
@@ -25,6 +25,12 @@
   private final List<Socket> connections = new CopyOnWriteArrayList<>();
   private final String partAfterAnswers;
   private final String partBeforeAnswers;
+  private final String partBeforeFirstAnswer;
+
+  /** Starts a server that sends a part before each answer, also the first one of a connection. */
+  public static StutteringServer fromFirstAnswerOn(String part) throws IOException {
+    return new StutteringServer("", part, part);
+  }
 
   /**
    * Starts a server.
@@ -33,8 +39,15 @@
    * @param partBeforeAnswers precedes each answer but the first one of a connection
    */
   public StutteringServer(String partAfterAnswers, String partBeforeAnswers) throws IOException {
+    this(partAfterAnswers, partBeforeAnswers, "");
+  }
+
+  private StutteringServer(
+      String partAfterAnswers, String partBeforeAnswers, String partBeforeFirstAnswer)
+      throws IOException {
     this.partAfterAnswers = partAfterAnswers;
     this.partBeforeAnswers = partBeforeAnswers;
+    this.partBeforeFirstAnswer = partBeforeFirstAnswer;
     startThread(
         () -> {
           while (true) {
@@ -64,7 +77,7 @@
     BufferedReader requests =
         new BufferedReader(
             new InputStreamReader(connection.getInputStream(), StandardCharsets.US_ASCII));
-    String before = "";
+    String before = partBeforeFirstAnswer;
     for (String line = requests.readLine(); line != null; line = requests.readLine()) {
       String path = line.split(" ")[1];
       String callId = "Call-Id: none";
--- a/daemon/src/test/java/org/galenapost/daemon/relay/ServiceClientTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/relay/ServiceClientTest.java
@@ -21,11 +21,14 @@
 import org.galenapost.core.fleet.BackendServer;
 import org.galenapost.core.fleet.ServerKind;
 import org.galenapost.core.fleet.ServerState;
+import org.galenapost.core.verdict.Verdict;
 import org.galenapost.daemon.net.EventLoops;
 import org.galenapost.daemon.net.HttpClients;
+import org.galenapost.daemon.net.StutteringServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class ServiceClientTest {
@@ -56,6 +59,26 @@
     }
   }
 
+  /** A merged head would give a failure the status of a success, or the other way round. */
+  @ParameterizedTest
+  @CsvSource({
+    "/fail, HTTP/1.1 200 OK|Server: stutt",
+    "/fail, HTTP/1.1 2",
+    "/fail, noise",
+    "/1, HTTP/1.1 500 Failure|Server: stutt",
+    "/1, HTTP/1.1 404 Not"
+  })
+  void failsCallThatMayHaveRunAfterPartOfAnotherAnswer(String uri, String part) throws Exception {
+    try (StutteringServer service = StutteringServer.fromFirstAnswerOn(part.replace("|", "\r\n"))) {
+      ServiceOutcome outcome = outcomeOf(service.port(), uri, new byte[0]);
+
+      assertThat(outcome)
+          .isInstanceOfSatisfying(
+              ServiceOutcome.Failed.class,
+              failure -> assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN));
+    }
+  }
+
   /** The end of a connection also ends an answer without a length, but a reset breaks it off. */
   @ParameterizedTest
   @ValueSource(ints = {0, 4_000_000})
