Test streams, HEAD requests and leftover bytes beside copies of other answers

The streaming part of ServerStandin moves into EventStreamer. Exchange.replyRaw does nothing on a closed connection, where it leaked its buffer.

--- a/standins/src/main/java/org/galenapost/standins/gateway/LateCopies.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/LateCopies.java
@@ -1,5 +1,6 @@
 package org.galenapost.standins.gateway;
 
+import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.util.Map;
 import java.util.TreeMap;
@@ -65,13 +66,15 @@
       Map<String, String> copied = new TreeMap<>(headers);
       copied.put("Server", instanceId);
       copied.put("X-Attempt-Id", callId);
-      send(exchange, eventLoop, RawAnswers.text(status, copied, body));
+      String copy = RawAnswers.text(status, copied, body);
+      boolean isHeadOnly = HttpMethod.HEAD.equals(exchange.method());
+      send(exchange, eventLoop, isHeadOnly ? copy.substring(0, headEnd(copy)) : copy);
     }
   }
 
   private void send(Exchange exchange, ScheduledExecutorService eventLoop, String copy) {
     LateCopyForm current = form;
-    int headEnd = copy.indexOf(HEAD_END) + HEAD_END.length();
+    int headEnd = headEnd(copy);
     String first =
         switch (current) {
           case WHOLE, WHOLE_WHILE_IDLE -> copy;
@@ -91,6 +94,10 @@
     }
   }
 
+  private static int headEnd(String copy) {
+    return copy.indexOf(HEAD_END) + HEAD_END.length();
+  }
+
   private static int cut(int from, int to) {
     return from < to ? ThreadLocalRandom.current().nextInt(from, to) : from;
   }
--- a/standins/src/main/java/org/galenapost/standins/gateway/RawHttpClient.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/RawHttpClient.java
@@ -86,16 +86,26 @@
    *     complete
    */
   public Response readResponse(Predicate<String> isEnough) throws IOException {
+    Response head = readHeadResponse();
+    return "chunked".equals(head.headers().get("Transfer-Encoding"))
+        ? readChunkedBody(head.status(), head.headers(), isEnough)
+        : readFixedLengthBody(head.status(), head.headers());
+  }
+
+  /**
+   * Reads the response to a HEAD request, which has no body.
+   *
+   * @throws IOException if the connection closes or a read times out before the headers are
+   *     complete
+   */
+  public Response readHeadResponse() throws IOException {
     String statusLine = readLine();
     Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
     for (String line = readLine(); !line.isEmpty(); line = readLine()) {
       int colon = line.indexOf(':');
       headers.put(line.substring(0, colon), line.substring(colon + 1).strip());
     }
-    int status = Integer.parseInt(statusLine.split(" ")[1]);
-    return "chunked".equals(headers.get("Transfer-Encoding"))
-        ? readChunkedBody(status, headers, isEnough)
-        : readFixedLengthBody(status, headers);
+    return new Response(Integer.parseInt(statusLine.split(" ")[1]), headers, "", true);
   }
 
   private Response readFixedLengthBody(int status, Map<String, String> headers) throws IOException {
--- a/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
@@ -1,6 +1,5 @@
 package org.galenapost.standins.gateway;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -13,7 +12,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.galenapost.standins.Standin;
-import org.galenapost.standins.http.EventStream;
 import org.galenapost.standins.http.Exchange;
 import org.galenapost.standins.http.HttpServer;
 
@@ -30,7 +28,6 @@
   /** The share of answers without a length that are reset in the middle. */
   private static final double BROKEN_OFF_SHARE = 0.5;
 
-  private static final Duration COMMENT_INTERVAL = Duration.ofMillis(200);
   private static final String FILLER = "x".repeat(16 * 1024);
   private static final int OK = 200;
   private static final int INTERNAL_SERVER_ERROR = 500;
@@ -46,6 +43,7 @@
   private final AtomicInteger remainingRefusals = new AtomicInteger();
   private final AtomicInteger remainingFailures = new AtomicInteger();
   private final LateCopies lateCopies;
+  private final EventStreamer streamer;
   private final Map<String, Integer> answeredStatuses = new ConcurrentHashMap<>();
   private volatile Behaviour behaviour = Behaviour.SERVING;
   private volatile Duration processingTime = Duration.ofMillis(5);
@@ -140,6 +138,9 @@
     this.instanceId = instanceId;
     this.lateCopies = new LateCopies(instanceId);
     this.kvBackupIds = kvBackupIds;
+    this.streamer =
+        new EventStreamer(
+            server.eventLoop(), () -> behaviour, () -> eventInterval, abortedCallIds::add);
   }
 
   /** Creates a server on a free port that shares no KV backups with other servers. */
@@ -237,6 +238,16 @@
     lateCopies.set(share, form);
   }
 
+  /**
+   * Makes the server send bytes that belong to no chunk in each stream.
+   *
+   * @param event the event after which they come; those after the last one follow the stream's end
+   * @param text the bytes
+   */
+  public void setStrayBytesInStreams(long event, String text) {
+    streamer.setStrayBytes(event, text);
+  }
+
   /** Sets the share of calls that it runs and fails with status 500. */
   public void setFailureShare(double share) {
     failureShare = share;
@@ -316,15 +327,11 @@
   public static String eventsAfter(long last, String callId) {
     StringBuilder events = new StringBuilder();
     for (long event = last + 1; event <= EVENTS_PER_STREAM; event++) {
-      events.append("id: " + event + "\ndata: " + eventData(event, callId) + "\n\n");
+      events.append("id: " + event + "\ndata: " + EventStreamer.eventData(event, callId) + "\n\n");
     }
     return events.toString();
   }
 
-  private static String eventData(long event, String callId) {
-    return "event " + event + " of " + callId;
-  }
-
   private void handle(Exchange exchange) {
     Map<String, String> headers = exchange.headers();
     String callId = headers.getOrDefault("X-Attempt-Id", "");
@@ -422,9 +429,8 @@
   private void respondNormally(
       Exchange exchange, Map<String, String> headers, Map<String, String> sealed) {
     if (headers.containsKey("X-Token-Counts")) {
-      EventStream stream = exchange.openEventStream(sealed);
       long after = Long.parseLong(headers.getOrDefault("Last-Event-Id", "0"));
-      streamFrom(stream, headers.get("X-Attempt-Id"), after + 1);
+      streamer.stream(exchange, sealed, headers.get("X-Attempt-Id"), after + 1);
     } else if (behaviour == Behaviour.TALKATIVE) {
       exchange.replyRaw(RawAnswers.text(OK, sealed, ownBody()) + "HTTP/1.1 200 OK\r\n\r\nmore");
     } else if (isDrawn(undelimitedShare)) {
@@ -463,38 +469,4 @@
   public static String bodyOf(String instanceId) {
     return "answer of " + instanceId;
   }
-
-  private void streamFrom(EventStream stream, String callId, long event) {
-    if (behaviour == Behaviour.DYING_IN_STREAM && event > EVENTS_PER_STREAM / 2) {
-      stream
-          .writeRaw(("id: " + event + "\nda").getBytes(StandardCharsets.UTF_8))
-          .addListener(written -> stream.reset());
-      return;
-    }
-    if (behaviour == Behaviour.SILENT) {
-      return;
-    }
-    if (behaviour == Behaviour.TRICKLING && event > EVENTS_PER_STREAM / 2) {
-      stream.writeRaw(": still here\n".getBytes(StandardCharsets.UTF_8));
-      server
-          .eventLoop()
-          .schedule(
-              () -> streamFrom(stream, callId, event),
-              COMMENT_INTERVAL.toMillis(),
-              TimeUnit.MILLISECONDS);
-      return;
-    }
-    if (event > EVENTS_PER_STREAM) {
-      stream.end();
-      return;
-    }
-    stream.onClose(() -> abortedCallIds.add(callId));
-    stream.write(event, eventData(event, callId));
-    server
-        .eventLoop()
-        .schedule(
-            () -> streamFrom(stream, callId, event + 1),
-            eventInterval.toMillis(),
-            TimeUnit.MILLISECONDS);
-  }
 }
--- a/standins/src/main/java/org/galenapost/standins/http/Exchange.java
+++ b/standins/src/main/java/org/galenapost/standins/http/Exchange.java
@@ -187,8 +187,11 @@
     return EventStream.open(channel, isKeepAlive, allHeaders);
   }
 
-  /** Sends text unchanged; it need not be a valid response. */
+  /** Sends text unchanged if the connection is open; it need not be a valid response. */
   public void replyRaw(String text) {
+    if (!channel.isActive()) {
+      return;
+    }
     channel.pipeline().firstContext().writeAndFlush(ByteBufUtil.writeUtf8(channel.alloc(), text));
   }
 
