Let the stand-in of a server record its sealed answers one by one

answeredStatuses kept the last status for each call, refusals included, and left out answers without a length, crossed ones and those followed by stray bytes. A check that compares what callers got needs each sealed answer with its body: answers() lists them, at each server instance. Copies of another form that are still due when the form changes are dropped, so that they end with their disturbance. A server's crossed answers are sent as before, from one place.

--- a/standins/src/main/java/org/galenapost/standins/gateway/LateCopies.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/LateCopies.java
@@ -28,9 +28,14 @@
     this.instanceId = instanceId;
   }
 
+  /** Sets the share and the form of copies, and drops those of another form that are still due. */
   void set(double newShare, LateCopyForm newForm) {
     share = newShare;
-    form = newForm;
+    if (form != newForm) {
+      form = newForm;
+      beforeNextAnswer.clear();
+      afterNextAnswer.clear();
+    }
   }
 
   /** Sends what is to come before the next answer on the connection of a request. */
--- a/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/ServerStandin.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -46,7 +45,7 @@
   private final AtomicInteger remainingRefusals = new AtomicInteger();
   private final AtomicInteger remainingFailures = new AtomicInteger();
   private final LateCopies lateCopies;
-  private final Map<String, Integer> answeredStatuses = new ConcurrentHashMap<>();
+  private final List<ServerAnswer> answers = new CopyOnWriteArrayList<>();
   private volatile Behaviour behaviour = Behaviour.SERVING;
   private volatile Duration processingTime = Duration.ofMillis(5);
   private volatile Duration eventInterval = Duration.ofMillis(10);
@@ -242,9 +241,9 @@
     failureShare = share;
   }
 
-  /** Returns the status of the answer to each call that it ran, by the id of the call. */
-  public Map<String, Integer> answeredStatuses() {
-    return Map.copyOf(answeredStatuses);
+  /** Returns the answers under its seal so far, other than streams and endless ones. */
+  public List<ServerAnswer> answers() {
+    return List.copyOf(answers);
   }
 
   /**
@@ -391,7 +390,6 @@
 
   private void reply(
       Exchange exchange, String callId, int status, Map<String, String> headers, String body) {
-    answeredStatuses.put(callId, status);
     exchange.reply(status, headers, body);
     lateCopies.onAnswer(exchange, server.eventLoop(), callId, status, headers, body);
   }
@@ -411,10 +409,13 @@
       case FAILING -> {
         Map<String, String> seal = Map.of("X-Response-Seal", sealOf(callId));
         Map<String, String> own = sealsFailures ? seal : Map.of();
-        reply(exchange, callId, failureStatus, own, "failed by " + instanceId);
+        ServerAnswer failure = new ServerAnswer(callId, failureStatus, "failed by " + instanceId);
+        if (sealsFailures) {
+          answers.add(failure);
+        }
+        reply(exchange, callId, failure.status(), own, failure.body());
       }
       case UNSEALED -> exchange.reply(OK, Map.of("X-Attempt-Id", callId), "forged");
-      case CROSSING -> streamOrSendTwoResponses(exchange, headers, sealed);
       default -> respondNormally(exchange, headers, sealed);
     }
   }
@@ -425,8 +426,15 @@
       EventStream stream = exchange.openEventStream(sealed);
       long after = Long.parseLong(headers.getOrDefault("Last-Event-Id", "0"));
       streamFrom(stream, headers.get("X-Attempt-Id"), after + 1);
-    } else if (behaviour == Behaviour.TALKATIVE) {
+      return;
+    }
+    answers.add(new ServerAnswer(headers.get("X-Attempt-Id"), OK, ownBody()));
+    if (behaviour == Behaviour.TALKATIVE) {
       exchange.replyRaw(RawAnswers.text(OK, sealed, ownBody()) + "HTTP/1.1 200 OK\r\n\r\nmore");
+    } else if (behaviour == Behaviour.CROSSING) {
+      Map<String, String> other = Map.of("X-Attempt-Id", "other", "X-Response-Seal", "other-seal");
+      exchange.replyRaw(
+          RawAnswers.text(OK, other, "other answer") + RawAnswers.text(OK, sealed, ownBody()));
     } else if (isDrawn(undelimitedShare)) {
       RawAnswers.sendWithoutLength(
           exchange, server.eventLoop(), sealed, ownBody(), isDrawn(BROKEN_OFF_SHARE));
@@ -444,17 +452,6 @@
     }
   }
 
-  private void streamOrSendTwoResponses(
-      Exchange exchange, Map<String, String> headers, Map<String, String> sealed) {
-    if (headers.containsKey("X-Token-Counts")) {
-      respondNormally(exchange, headers, sealed);
-    } else {
-      Map<String, String> other = Map.of("X-Attempt-Id", "other", "X-Response-Seal", "other-seal");
-      exchange.replyRaw(
-          RawAnswers.text(OK, other, "other answer") + RawAnswers.text(OK, sealed, ownBody()));
-    }
-  }
-
   private String ownBody() {
     return bodyBytes > 0 ? "x".repeat(bodyBytes) : bodyOf(instanceId);
   }
