Let the soak mix failures with late copies in all forms, and compare each answer

Each round now begins with 4 s in which all servers fail a quarter to a half of their calls and send a like share of their answers twice. The seven forms are shuffled by the seed and rotated, so that a service's four servers play all of them in two rounds; twelve callers without pauses keep the connections in use.

SoakChecks holds status and body of each sealed answer, other than successful streams, against the sealed answers that servers gave to that call; a broken-off answer may lack its end. Other checks are unchanged. Their tests now give the daemon's own refusals no seal, as on the wire; each still expects one violation.

--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/GatewaySoak.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/GatewaySoak.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -21,6 +22,7 @@
 import org.galenapost.scenarios.process.ManagedProcess;
 import org.galenapost.scenarios.soak.CallRecord.Outcome;
 import org.galenapost.scenarios.soak.SoakFaults.Fault;
+import org.galenapost.standins.gateway.LateCopyForm;
 import org.galenapost.standins.gateway.ServerStandin;
 
 /** Runs one soak: rounds of overlapping faults, a settle time and planned operations. */
@@ -31,11 +33,14 @@
   private static final int MIN_FAULT_MS = 200;
   private static final int MAX_FAULT_MS = 2_500;
   private static final int PLANNED_ACTIONS_PER_PHASE = 5;
+  private static final int BUSY_CALLERS = 12;
   private static final long RESTORE_SEED_FACTOR = 31;
   private static final long FULL_SERVERS_SEED_FACTOR = 37;
   private static final long BROKEN_ANSWERS_SEED_FACTOR = 41;
   private static final long LOSS_OF_ALL_SEED_FACTOR = 43;
+  private static final long MIXED_ANSWERS_SEED_FACTOR = 47;
   private static final double MAX_LATE_COPY_SHARE = 0.3;
+  private static final double MAX_MIXED_SHARE = 0.5;
   private static final double MAX_UNDELIMITED_SHARE = 0.4;
 
   /** Starting or ending a fault takes milliseconds, so a few threads keep the schedule. */
@@ -89,6 +94,7 @@
       startCallers(fleet);
       executor.execute(this::watchForStalls);
       for (int round = 0; round < options.rounds(); round++) {
+        runMixedAnswersPhase(fleet, soakFaults, round);
         scheduleRestore(soakFaults, round);
         scheduleFullServers(soakFaults, round);
         scheduleBrokenAnswers(soakFaults, round);
@@ -130,11 +136,45 @@
               random.nextLong(),
               fleet.callerPorts(),
               SoakFaults.KEYS,
+              SoakCaller.Pace.USUAL,
               () -> mustStop,
               history::onCall));
     }
   }
 
+  /**
+   * Lets servers mix failures and late copies, with nothing else disturbed and with callers that
+   * keep connections to the servers in use. Draws from a source of its own.
+   */
+  private void runMixedAnswersPhase(SoakFleet fleet, SoakFaults soakFaults, int round) {
+    Random ownRandom = new Random(options.seed() * MIXED_ANSWERS_SEED_FACTOR + round);
+    double copyShare = MAX_MIXED_SHARE * (1 + ownRandom.nextDouble()) / 2;
+    double failureShare = MAX_MIXED_SHARE * (1 + ownRandom.nextDouble()) / 2;
+    Runnable end = soakFaults.mixAnswers(copyShare, failureShare, lateCopyForms(round));
+    long endNanos = System.nanoTime() + SoakOptions.MIXED_ANSWERS_PHASE.toNanos();
+    for (int i = 0; i < BUSY_CALLERS; i++) {
+      executor.execute(
+          new SoakCaller(
+              "s" + options.seed() + "-r" + round + "-b" + i,
+              ownRandom.nextLong(),
+              fleet.callerPorts(),
+              SoakFaults.KEYS.subList(0, 1),
+              SoakCaller.Pace.BUSY,
+              () -> mustStop || System.nanoTime() - endNanos > 0,
+              history::onCall));
+    }
+    pause(SoakOptions.MIXED_ANSWERS_PHASE);
+    end.run();
+  }
+
+  /** Returns all forms, rotated so that a service's servers play all of them in two rounds. */
+  private List<LateCopyForm> lateCopyForms(int round) {
+    List<LateCopyForm> forms = new ArrayList<>(List.of(LateCopyForm.values()));
+    Collections.shuffle(forms, new Random(options.seed() * MIXED_ANSWERS_SEED_FACTOR));
+    Collections.rotate(forms, round * SoakFleet.SERVERS_PER_SERVICE);
+    return forms;
+  }
+
   /** Records each pause of this process as a disturbance of all daemons. */
   private void watchForStalls() {
     long lastNanos = System.nanoTime();
@@ -272,7 +312,7 @@
             .collect(Collectors.toSet());
     long wentOn = resumed.stream().filter(call -> ranCalls.contains(call.id())).count();
     int runCount = runs.values().stream().mapToInt(List::size).sum();
-    List<String> violations = SoakChecks.violations(history, runs);
+    List<String> violations = SoakChecks.violations(history, runs, fleet.answers());
     return new SoakResult(
         options.seed(),
         calls.size(),
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakCaller.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakCaller.java
@@ -20,7 +20,6 @@
 final class SoakCaller implements Runnable {
 
   private static final int MAX_CALLS_PER_CONNECTION = 40;
-  private static final int MAX_THINK_TIME_MS = 150;
   private static final int MAX_ABANDON_DELAY_MS = 400;
   private static final double ABANDONED_CALL_SHARE = 0.06;
   private static final double FORGED_HEADERS_SHARE = 0.1;
@@ -37,12 +36,29 @@
   private final Random random;
   private final List<Integer> ports;
   private final List<String> keys;
+  private final Pace pace;
   private final BooleanSupplier mustStop;
   private final Consumer<CallRecord> onCall;
   private final Random resumeRandom;
   private Optional<CallRecord.Resumption> pendingResumption = Optional.empty();
   private int callCount;
 
+  /** What a caller calls and how long it waits between calls. */
+  enum Pace {
+    /** It makes calls of all kinds with pauses. */
+    USUAL(List.of(CallRecord.Kind.values()), 150),
+    /** It makes calls other than streams nearly without a pause. */
+    BUSY(List.of(CallRecord.Kind.IDEMPOTENT, CallRecord.Kind.ONCE), 5);
+
+    private final List<CallRecord.Kind> kinds;
+    private final int maxThinkTimeMs;
+
+    Pace(List<CallRecord.Kind> kinds, int maxThinkTimeMs) {
+      this.kinds = kinds;
+      this.maxThinkTimeMs = maxThinkTimeMs;
+    }
+  }
+
   /**
    * Creates a caller.
    *
@@ -50,6 +66,7 @@
    * @param seed the seed of the caller's random choices
    * @param ports the caller port of each daemon, by the daemon's index
    * @param keys the API keys to choose from at random; the first is used more than half of the time
+   * @param pace what it calls and how fast
    * @param mustStop returns whether the caller must stop
    * @param onCall is notified of each call before it is sent and again when it has ended
    */
@@ -58,6 +75,7 @@
       long seed,
       List<Integer> ports,
       List<String> keys,
+      Pace pace,
       BooleanSupplier mustStop,
       Consumer<CallRecord> onCall) {
     this.name = name;
@@ -65,6 +83,7 @@
     this.resumeRandom = new Random(seed + 1);
     this.ports = ports;
     this.keys = keys;
+    this.pace = pace;
     this.mustStop = mustStop;
     this.onCall = onCall;
   }
@@ -142,13 +161,12 @@
   }
 
   private void pauseForThinkTime() {
-    ManagedProcess.pause(Duration.ofMillis(random.nextInt(MAX_THINK_TIME_MS)));
+    ManagedProcess.pause(Duration.ofMillis(random.nextInt(pace.maxThinkTimeMs)));
   }
 
   /** Sends one call and returns whether the connection can be reused. */
   private boolean call(RawHttpClient connection, int daemon) throws IOException {
-    CallRecord.Kind kind =
-        CallRecord.Kind.values()[random.nextInt(CallRecord.Kind.values().length)];
+    CallRecord.Kind kind = pace.kinds.get(random.nextInt(pace.kinds.size()));
     String key = keys.get(Math.max(0, random.nextInt(2 * keys.size()) - keys.size()));
     boolean isAbandoning = random.nextDouble() < ABANDONED_CALL_SHARE;
     String id = name + "-" + callCount++;
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakChecks.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakChecks.java
@@ -2,15 +2,18 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.galenapost.scenarios.soak.CallRecord.Kind;
 import org.galenapost.scenarios.soak.CallRecord.Outcome;
 import org.galenapost.standins.gateway.RawHttpClient;
+import org.galenapost.standins.gateway.ServerAnswer;
 import org.galenapost.standins.gateway.ServerStandin;
 import org.galenapost.standins.gateway.StoreContentWriter;
 
@@ -20,6 +23,7 @@
   /** The statuses that guarantee that a call has not run and never will. */
   private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
+  private static final String SEAL = "X-Response-Seal";
   private static final int OK = 200;
   private static final int UNAUTHENTICATED = 401;
 
@@ -43,13 +47,19 @@
 
   private final SoakHistory history;
   private final Map<String, List<Execution>> executions = new HashMap<>();
+  private final Map<String, List<ServerAnswer>> serverAnswers;
   private final List<String> violations = new ArrayList<>();
 
   /** One run of a call at a server instance. */
   private record Execution(String serverId, ServerStandin.Run run) {}
 
-  private SoakChecks(SoakHistory history, Map<String, List<ServerStandin.Run>> runs) {
+  private SoakChecks(
+      SoakHistory history,
+      Map<String, List<ServerStandin.Run>> runs,
+      Collection<ServerAnswer> serverAnswers) {
     this.history = history;
+    this.serverAnswers =
+        serverAnswers.stream().collect(Collectors.groupingBy(ServerAnswer::callId));
     runs.forEach(
         (serverId, ownRuns) -> {
           for (ServerStandin.Run run : ownRuns) {
@@ -65,9 +75,13 @@
    *
    * @param history the calls of all callers and the actions on the fleet
    * @param runs the runs of each server instance, by instance id
+   * @param serverAnswers the sealed answers of all server instances, other than streams
    */
-  static List<String> violations(SoakHistory history, Map<String, List<ServerStandin.Run>> runs) {
-    SoakChecks checks = new SoakChecks(history, runs);
+  static List<String> violations(
+      SoakHistory history,
+      Map<String, List<ServerStandin.Run>> runs,
+      Collection<ServerAnswer> serverAnswers) {
+    SoakChecks checks = new SoakChecks(history, runs, serverAnswers);
     checks.checkAll();
     return List.copyOf(checks.violations);
   }
@@ -185,12 +199,15 @@
     if (NOT_RUN_STATUSES.contains(answer.status()) && !executionsOf(call).isEmpty()) {
       addViolation(call, "was refused as not run");
     }
+    boolean isStream = call.kind() == Kind.STREAM && answer.status() == OK;
+    if (answer.status() == OK && !answer.isSealedFor(call.id())) {
+      addViolation(call, "was answered by what is not its server's answer");
+    } else if (!isStream && answer.headers().containsKey(SEAL) && !isOfServer(call, answer)) {
+      addViolation(call, "got a sealed answer that differs from " + answersTo(call));
+    }
     if (answer.status() != OK) {
       return;
     }
-    if (!answer.isSealedFor(call.id())) {
-      addViolation(call, "was answered by what is not its server's answer");
-    }
     if (call.kind() == Kind.STREAM) {
       checkEvents(call, answer);
     } else if (answer.isComplete() && !isOwnBody(call, answer.body())) {
@@ -198,6 +215,23 @@
     }
   }
 
+  private List<ServerAnswer> answersTo(CallRecord call) {
+    return serverAnswers.getOrDefault(call.id(), List.of());
+  }
+
+  /** Returns whether a server gave the answer to the call; its end may be missing if broken off. */
+  private boolean isOfServer(CallRecord call, RawHttpClient.Response answer) {
+    return answer.isSealedFor(call.id())
+        && answersTo(call).stream()
+            .filter(given -> given.status() == answer.status())
+            .map(ServerAnswer::body)
+            .anyMatch(
+                body ->
+                    answer.isComplete()
+                        ? body.equals(answer.body())
+                        : body.startsWith(answer.body()));
+  }
+
   private void checkEvents(CallRecord call, RawHttpClient.Response answer) {
     String expected = ServerStandin.eventsAfter(call.afterEvent(), call.id());
     if (answer.isComplete() && !answer.body().equals(expected)) {
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFaults.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFaults.java
@@ -10,6 +10,7 @@
 import java.util.stream.IntStream;
 import org.galenapost.scenarios.process.ManagedProcess;
 import org.galenapost.standins.gateway.LateCopyForm;
+import org.galenapost.standins.gateway.ServerStandin;
 import org.galenapost.standins.gateway.ServerStandin.Behaviour;
 import org.galenapost.standins.gateway.StoreEndpoint.FaultMode;
 import org.galenapost.standins.gateway.StoreStandin;
@@ -205,6 +206,40 @@
     }
   }
 
+  /**
+   * Makes all servers fail some calls and send some of their answers a second time, late and
+   * perhaps in part.
+   *
+   * @param copyShare the share of answers that are sent twice
+   * @param failureShare the share of calls that fail
+   * @param forms the forms of the second answers, dealt to the servers in turn
+   * @return the action that ends it
+   */
+  Runnable mixAnswers(double copyShare, double failureShare, List<LateCopyForm> forms) {
+    history.logAction("mixed answers forms=" + forms);
+    return withDisturbance(
+        Disturbances.SERVERS,
+        () -> {
+          for (int i = 0; i < fleet.servers().size(); i++) {
+            ServerStandin instance = fleet.servers().get(i).currentInstance();
+            instance.setFailureShare(failureShare);
+            instance.setLateCopies(copyShare, forms.get(i % forms.size()));
+          }
+          return this::stopMixingAnswers;
+        });
+  }
+
+  /** Replaced instances may still hold connections. */
+  private void stopMixingAnswers() {
+    fleet.servers().stream()
+        .flatMap(server -> server.instances().stream())
+        .forEach(
+            instance -> {
+              instance.setFailureShare(0);
+              instance.setLateCopies(0, LateCopyForm.WHOLE);
+            });
+  }
+
   /**
    * Lets servers send answers without a length, half of which are reset in the middle.
    *
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFleet.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFleet.java
@@ -10,6 +10,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.galenapost.standins.gateway.ServerAnswer;
 import org.galenapost.standins.gateway.ServerStandin;
 import org.galenapost.standins.gateway.StoreContentWriter;
 import org.galenapost.standins.gateway.StoreEndpoint;
@@ -20,9 +21,10 @@
 /** The store, servers and daemons of one soak, connected through links that can be impaired. */
 final class SoakFleet implements AutoCloseable {
 
+  static final int SERVERS_PER_SERVICE = 4;
+
   private static final List<String> DATA_CENTRES = List.of("z1", "z2", "z3");
   private static final List<String> SOFTWARE_VERSIONS = List.of("v1", "v1.1");
-  private static final int SERVERS_PER_SERVICE = 4;
 
   private final StoreStandin store = new StoreStandin();
   private final StoreContentWriter content = new StoreContentWriter(store);
@@ -118,6 +120,14 @@
         .collect(Collectors.toMap(ServerStandin::instanceId, ServerStandin::runs));
   }
 
+  /** Returns the sealed answers of all server instances so far. */
+  List<ServerAnswer> answers() {
+    return servers.stream()
+        .flatMap(server -> server.instances().stream())
+        .flatMap(instance -> instance.answers().stream())
+        .toList();
+  }
+
   StoreEndpoint storeEndpoint(int daemon) {
     return storeEndpoints.get(daemon);
   }
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakMain.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakMain.java
@@ -30,7 +30,7 @@
 
   @Parameter(
       names = "--rounds",
-      description = "rounds of faults and planned operations, about 20 s each")
+      description = "rounds of faults and planned operations, about 25 s each")
   private int rounds = 2;
 
   @Parameter(names = "--daemons", description = "number of daemons per soak")
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakOptions.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakOptions.java
@@ -15,6 +15,9 @@
  */
 public record SoakOptions(long seed, int rounds, int daemons, int callers, Path folder) {
 
+  /** The duration of the phase of mixed answers, which begins each round. */
+  static final Duration MIXED_ANSWERS_PHASE = Duration.ofSeconds(4);
+
   /** The duration of the fault phase of each round. */
   static final Duration FAULT_PHASE = Duration.ofSeconds(7);
 
--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/SoakChecksTest.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/SoakChecksTest.java
@@ -14,6 +14,7 @@
 import org.galenapost.scenarios.soak.CallRecord.Kind;
 import org.galenapost.scenarios.soak.CallRecord.Outcome;
 import org.galenapost.standins.gateway.RawHttpClient;
+import org.galenapost.standins.gateway.ServerAnswer;
 import org.galenapost.standins.gateway.ServerStandin;
 import org.galenapost.standins.gateway.StoreContentWriter;
 import org.junit.jupiter.api.Test;
@@ -27,6 +28,7 @@
 
   private final SoakHistory history = new SoakHistory(new PrintWriter(Writer.nullWriter()));
   private final Map<String, List<ServerStandin.Run>> runs = new HashMap<>();
+  private final List<ServerAnswer> serverAnswers = new ArrayList<>();
   private final long now = System.nanoTime() + Duration.ofSeconds(10).toNanos();
 
   @Test
@@ -49,7 +51,7 @@
   void acceptsRefusalByDaemonThatIsNotReadyAgainAfterAPlannedRestart() {
     allowKeys(KEY);
     history.onTermination(0);
-    recordCall("c1", Kind.ONCE, KEY, Outcome.ANSWERED, answer("c1", 503, "not ready"));
+    recordCall("c1", Kind.ONCE, KEY, Outcome.ANSWERED, unsealed(503, "not ready"));
 
     assertThat(violations()).isEmpty();
   }
@@ -58,7 +60,7 @@
   void reportsRefusalByDaemonThatIsReadyAgainAfterAPlannedRestart() {
     allowKeys(KEY);
     history.onTermination(0).end();
-    recordCall("c1", Kind.ONCE, KEY, Outcome.ANSWERED, answer("c1", 503, "not ready"));
+    recordCall("c1", Kind.ONCE, KEY, Outcome.ANSWERED, unsealed(503, "not ready"));
 
     assertThat(violations()).singleElement().asString().contains("was not served");
   }
@@ -85,7 +87,7 @@
     allowKeys(KEY);
     disturbAllDaemons();
     recordRun("c1", Kind.IDEMPOTENT, now, Map.of());
-    recordCall("c1", Kind.IDEMPOTENT, KEY, Outcome.ANSWERED, answer("c1", 503, ""));
+    recordCall("c1", Kind.IDEMPOTENT, KEY, Outcome.ANSWERED, unsealed(503, ""));
 
     assertThat(violations()).singleElement().asString().contains("refused as not run");
   }
@@ -99,6 +101,80 @@
     assertThat(violations()).singleElement().asString().contains("not its server's answer");
   }
 
+  @Test
+  void acceptsFailureOfServerUnderItsSeal() {
+    allowKeys(KEY);
+    disturbServers();
+    recordFailedRun("c1", Kind.ONCE);
+    recordCall("c1", Kind.ONCE, KEY, Outcome.ANSWERED, answer("c1", 500, "failed by " + SERVER));
+    recordFailedRun("c2", Kind.STREAM);
+    recordCall("c2", Kind.STREAM, KEY, Outcome.ANSWERED, answer("c2", 500, "failed by " + SERVER));
+
+    assertThat(violations()).isEmpty();
+  }
+
+  @Test
+  void acceptsSuccessOfServerAfterFailureOfAnother() {
+    allowKeys(KEY);
+    recordFailedRun("c1", Kind.IDEMPOTENT);
+    recordRun("c1", Kind.IDEMPOTENT, now, Map.of());
+    recordCall(
+        "c1", Kind.IDEMPOTENT, KEY, Outcome.ANSWERED, answer("c1", 200, "answer of " + SERVER));
+
+    assertThat(violations()).isEmpty();
+  }
+
+  @Test
+  void reportsSuccessWhereServerAnsweredWithFailure() {
+    allowKeys(KEY);
+    recordFailedRun("c1", Kind.ONCE);
+    recordCall("c1", Kind.ONCE, KEY, Outcome.ANSWERED, answer("c1", 200, "answer of " + SERVER));
+
+    assertThat(violations()).singleElement().asString().contains("sealed answer that differs");
+  }
+
+  @Test
+  void reportsBrokenOffSuccessWhereServerAnsweredWithFailure() {
+    allowKeys(KEY);
+    disturbServers();
+    recordFailedRun("c1", Kind.ONCE);
+    RawHttpClient.Response broken =
+        new RawHttpClient.Response(200, sealHeaders("c1"), "failed", false);
+    recordCall("c1", Kind.ONCE, KEY, Outcome.BROKEN_OFF, Optional.of(broken));
+
+    assertThat(violations()).singleElement().asString().contains("sealed answer that differs");
+  }
+
+  @Test
+  void reportsSealedFailureWithAnotherStatusThanTheServers() {
+    allowKeys(KEY);
+    disturbServers();
+    recordFailedRun("c1", Kind.ONCE);
+    recordCall("c1", Kind.ONCE, KEY, Outcome.ANSWERED, answer("c1", 502, "failed by " + SERVER));
+
+    assertThat(violations()).singleElement().asString().contains("sealed answer that differs");
+  }
+
+  @Test
+  void reportsSealedFailureWhereServerAnsweredWithSuccess() {
+    allowKeys(KEY);
+    disturbServers();
+    recordRun("c1", Kind.ONCE, now, Map.of());
+    recordCall("c1", Kind.ONCE, KEY, Outcome.ANSWERED, answer("c1", 500, "answer of " + SERVER));
+
+    assertThat(violations()).singleElement().asString().contains("sealed answer that differs");
+  }
+
+  @Test
+  void reportsSealedFailureWithTheSealOfAnotherCall() {
+    allowKeys(KEY);
+    disturbServers();
+    recordFailedRun("c1", Kind.ONCE);
+    recordCall("c1", Kind.ONCE, KEY, Outcome.ANSWERED, answer("c2", 500, "failed by " + SERVER));
+
+    assertThat(violations()).singleElement().asString().contains("sealed answer that differs");
+  }
+
   @Test
   void reportsStreamThatGoesOnAtAnotherSoftwareVersion() {
     allowKeys(KEY);
@@ -199,7 +275,7 @@
   void reportsRefusalOfAlwaysAllowedKey() {
     allowKeys(KEY);
     disturbAllDaemons();
-    recordCall("c1", Kind.ONCE, KEY, Outcome.ANSWERED, answer("c1", 401, ""));
+    recordCall("c1", Kind.ONCE, KEY, Outcome.ANSWERED, unsealed(401, ""));
 
     assertThat(violations()).singleElement().asString().contains("its key is allowed");
   }
@@ -216,7 +292,7 @@
   @Test
   void reportsCallsHeldPastTheirRouteTimeout() {
     allowKeys(KEY);
-    history.disturbances().begin(Disturbances.SERVERS);
+    disturbServers();
     for (int i = 0; i < 4; i++) {
       recordCall("c" + i, Kind.ONCE, KEY, Outcome.SILENT, Optional.empty(), 3_600);
     }
@@ -236,7 +312,7 @@
   }
 
   private List<String> violations() {
-    return SoakChecks.violations(history, runs);
+    return SoakChecks.violations(history, runs, serverAnswers);
   }
 
   private void allowKeys(String... keys) {
@@ -247,12 +323,30 @@
     history.disturbances().begin(Disturbances.ALL);
   }
 
+  private void disturbServers() {
+    history.disturbances().begin(Disturbances.SERVERS);
+  }
+
+  /** Records a run that the server failed. */
+  private void recordFailedRun(String id, Kind kind) {
+    addRun(id, kind, now, Map.of(), "v1");
+    serverAnswers.add(new ServerAnswer(id, 500, "failed by " + SERVER));
+  }
+
   private void recordRun(String id, Kind kind, long beganNanos, Map<String, String> extraHeaders) {
     recordRun(id, kind, beganNanos, extraHeaders, "v1");
   }
 
   private void recordRun(
       String id, Kind kind, long beganNanos, Map<String, String> extraHeaders, String version) {
+    addRun(id, kind, beganNanos, extraHeaders, version);
+    if (kind != Kind.STREAM) {
+      serverAnswers.add(new ServerAnswer(id, 200, ServerStandin.bodyOf(SERVER)));
+    }
+  }
+
+  private void addRun(
+      String id, Kind kind, long beganNanos, Map<String, String> extraHeaders, String version) {
     Map<String, String> headers = new HashMap<>(extraHeaders);
     headers.put("X-Tenant", StoreContentWriter.WORKSPACE);
     ServerStandin.Run run =
@@ -282,6 +376,11 @@
     return Optional.of(new RawHttpClient.Response(status, sealHeaders(sealedCallId), body, true));
   }
 
+  /** Returns an answer of the daemon itself. */
+  private static Optional<RawHttpClient.Response> unsealed(int status, String body) {
+    return Optional.of(new RawHttpClient.Response(status, Map.of(), body, true));
+  }
+
   private static Map<String, String> sealHeaders(String id) {
     return Map.of("X-Attempt-Id", id, "X-Response-Seal", "seal-of-" + id);
   }
