Go on looking for another answer after text that begins like one

What callers could see: the tail of another answer in theirs, or no answer until their deadline, as before. Cause: only the first 4 KB after "HTTP/1." were looked at. If no line ended there, the search stayed at this place; if one did, the rest of the part was passed over. Each small part was also searched together with those 4 KB.

A reason phrase of more than 256 characters is now no status line, so the search goes on behind it.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/EmbeddedHead.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/EmbeddedHead.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
@@ -13,49 +14,56 @@
 final class EmbeddedHead {
 
   private static final int MAX_HEAD_CHARS = 4 * 1024;
-  private static final ByteBuf START =
+  private static final int MAX_REASON_CHARS = 256;
+  private static final String START = "HTTP/1.";
+  private static final ByteBuf START_BYTES =
       Unpooled.unreleasableBuffer(
-          Unpooled.copiedBuffer("HTTP/1.", StandardCharsets.ISO_8859_1).asReadOnly());
-  private static final int OVERLAP = START.readableBytes() - 1;
+          Unpooled.copiedBuffer(START, StandardCharsets.ISO_8859_1).asReadOnly());
+  private static final int OVERLAP = START.length() - 1;
   private static final Pattern STATUS_LINE =
-      Pattern.compile("HTTP/1\\.[01] \\d{3}[^\\r\\n]*\\r\\n");
+      Pattern.compile("HTTP/1\\.[01] \\d{3}[^\\r\\n]{0," + MAX_REASON_CHARS + "}+\\r\\n");
+  private static final int MAX_LINE_CHARS = "HTTP/1.1 200\r\n".length() + MAX_REASON_CHARS;
 
-  /** The text from the last start that may be a head, or the last bytes of the body so far. */
+  /** The text from the status line on, or the end of the body so far, which may begin one. */
   private String text = "";
 
-  private boolean isStarted;
+  private boolean isFound;
 
   void add(ByteBuf part) {
-    if (isStarted) {
-      text = beginning(text + part.toString(StandardCharsets.ISO_8859_1));
-    } else if (ByteBufUtil.indexOf(START, part) >= 0 || isStartAcross(part)) {
-      String all = text + part.toString(StandardCharsets.ISO_8859_1);
-      text = beginning(all.substring(all.indexOf("HTTP/1.")));
-      isStarted = true;
+    if (isFound) {
+      int length = Math.min(MAX_HEAD_CHARS - text.length(), part.readableBytes());
+      text += part.toString(part.readerIndex(), length, StandardCharsets.ISO_8859_1);
+    } else if (text.startsWith(START)
+        || ByteBufUtil.indexOf(START_BYTES, part) >= 0
+        || isStartAcross(part)) {
+      search(text + part.toString(StandardCharsets.ISO_8859_1));
     } else {
       text = end(text + end(part));
     }
-    skipWhatIsNoHead();
+  }
+
+  private void search(String all) {
+    Matcher statusLine = STATUS_LINE.matcher(all);
+    isFound = statusLine.find();
+    if (isFound) {
+      int from = statusLine.start();
+      text = all.substring(from, Math.min(all.length(), from + MAX_HEAD_CHARS));
+    } else {
+      int from = all.lastIndexOf(START);
+      boolean mayBegin = from >= 0 && all.length() - from < MAX_LINE_CHARS;
+      text = mayBegin ? all.substring(from) : end(all);
+    }
   }
 
   private boolean isStartAcross(ByteBuf part) {
     int length = Math.min(OVERLAP, part.readableBytes());
     String seam = text + part.toString(part.readerIndex(), length, StandardCharsets.ISO_8859_1);
-    return seam.contains("HTTP/1.");
-  }
-
-  /** Goes on to the next start once the text shows that the last one begins no status line. */
-  private void skipWhatIsNoHead() {
-    while (isStarted && text.contains("\r\n") && !STATUS_LINE.matcher(text).lookingAt()) {
-      int next = text.indexOf("HTTP/1.", 1);
-      isStarted = next >= 0;
-      text = isStarted ? text.substring(next) : end(text);
-    }
+    return seam.contains(START);
   }
 
   /** Returns whether a status line has been found. */
   boolean isFound() {
-    return isStarted && STATUS_LINE.matcher(text).lookingAt();
+    return isFound;
   }
 
   /** Returns the text from the status line on, as far as it may belong to the head. */
@@ -63,10 +71,6 @@
     return text;
   }
 
-  private static String beginning(String all) {
-    return all.length() > MAX_HEAD_CHARS ? all.substring(0, MAX_HEAD_CHARS) : all;
-  }
-
   private static String end(String all) {
     return all.substring(Math.max(0, all.length() - OVERLAP));
   }
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/EmbeddedHeadTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/EmbeddedHeadTest.java
@@ -37,6 +37,19 @@
     assertThat(read(body, 4).isFound()).isFalse();
   }
 
+  /** The search ended with the first start that had no line end within 4 KB. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 100, 8_192, 20_000})
+  void findsHeadLongAfterTextThatBeginsLikeOne(int partBytes) {
+    String padding = "x".repeat(9_000);
+
+    EmbeddedHead head =
+        read("HTTP/1.1 200" + padding + "GET / HTTP/1.1\r\n" + padding + HEAD, partBytes);
+
+    assertThat(head.isFound()).isTrue();
+    assertThat(head.text()).isEqualTo(HEAD);
+  }
+
   @Test
   void keepsBoundedPartOfBody() {
     EmbeddedHead head = read(HEAD + "x".repeat(100_000), 1_000);
