Look for another answer only in the bodies of the current send

What callers could see: a send that failed as malformed although its answer was sound, if an informational answer came first and the body of the answer before on the connection held a status line. Cause: what was found in that body was kept.

Each send begins without it. Evidence: SwallowedAnswersTest .completesAnswerAfterInformationalOneWhenTheBodyBeforeHeldStatusLine holds; the same case failed before, in a trial.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
@@ -108,6 +108,7 @@
     sendCount++;
     callId = call.id();
     listener = responseListener;
+    embeddedHead = new EmbeddedHead();
     hasHead = false;
     isResponseSkipped = false;
     isReusable = !HttpMethod.HEAD.equals(request.method());
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/SwallowedAnswersTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/SwallowedAnswersTest.java
@@ -85,6 +85,21 @@
     assertThat(caller.body()).isEqualTo(transcript.body());
   }
 
+  /** The status line in the body of the answer before failed the send. */
+  @Test
+  void completesAnswerAfterInformationalOneWhenTheBodyBeforeHeldStatusLine() {
+    String transcript = "got HTTP/1.1 503 Busy\r\nfrom afar";
+    exchange(
+        HttpMethod.GET,
+        "call-1",
+        new RawResponse(200, "call-1", "seal-1", transcript, false, 0).text());
+
+    RecordingResponseListener caller =
+        exchange(HttpMethod.GET, "call-2", "HTTP/1.1 103 Early Hints\r\n\r\n" + SECOND.text());
+
+    assertThat(caller.isComplete()).as("failure: %s", caller.failure()).isTrue();
+  }
+
   @Test
   void doesNotAppendLateCopyToAnswerThatEndsWithItsConnection() {
     exchange(HttpMethod.GET, "call-2", SECOND.text());
