Expect no body of an informational answer

What callers could see: a send that failed as malformed, as its answer was read as the body of a 101 that changes to WebSocket without Sec-WebSocket-Accept, for which the decoder expects one. No request asks for either.

Evidence: StrictClientCodecTest .decodesResponseAfterChangeOfProtocolThatNobodyAskedFor(websocket) failed before and holds.

--- a/daemon/src/main/java/org/galenapost/daemon/net/StrictClientCodec.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/StrictClientCodec.java
@@ -72,7 +72,7 @@
 
     private void onDecoded(Object message) {
       if (message instanceof HttpResponse response) {
-        isInformational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        isInformational = isInformational(response);
         MergedHeads.findSign(response)
             .filter(sign -> response.decoderResult().isSuccess())
             .ifPresent(sign -> response.setDecoderResult(failure(sign)));
@@ -109,7 +109,13 @@
 
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
-      return HttpMethod.HEAD.equals(requestMethod) || super.isContentAlwaysEmpty(message);
+      return HttpMethod.HEAD.equals(requestMethod)
+          || isInformational((HttpResponse) message)
+          || super.isContentAlwaysEmpty(message);
+    }
+
+    private static boolean isInformational(HttpResponse response) {
+      return response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     }
   }
 
--- a/daemon/src/test/java/org/galenapost/daemon/net/StrictClientCodecTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/net/StrictClientCodecTest.java
@@ -53,9 +53,12 @@
   }
 
   /** The decoder passed on nothing after a change of protocol that no request had asked for. */
-  @Test
-  void decodesResponseAfterChangeOfProtocolThatNobodyAskedFor() {
-    firstResponse("HTTP/1.1 101 Switching\r\nUpgrade: other\r\nConnection: upgrade\r\n\r\n" + OK);
+  @ParameterizedTest
+  @ValueSource(strings = {"other", "websocket"})
+  void decodesResponseAfterChangeOfProtocolThatNobodyAskedFor(String protocol) {
+    String head = "HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: " + protocol;
+
+    firstResponse(head + "\r\n\r\n" + OK);
 
     assertThat(channel.inboundMessages())
         .filteredOn(HttpResponse.class::isInstance)
