Keep the first start of a status line across parts of a body

A status line whose reason phrase begins like another one was passed over if a part of the body ended in it.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/EmbeddedHead.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/EmbeddedHead.java
@@ -49,9 +49,8 @@
       int from = statusLine.start();
       text = all.substring(from, Math.min(all.length(), from + MAX_HEAD_CHARS));
     } else {
-      int from = all.lastIndexOf(START);
-      boolean mayBegin = from >= 0 && all.length() - from < MAX_LINE_CHARS;
-      text = mayBegin ? all.substring(from) : end(all);
+      int from = all.indexOf(START, Math.max(0, all.length() - MAX_LINE_CHARS));
+      text = from >= 0 ? all.substring(from) : end(all);
     }
   }
 
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/EmbeddedHeadTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/EmbeddedHeadTest.java
@@ -37,6 +37,12 @@
     assertThat(read(body, 4).isFound()).isFalse();
   }
 
+  @ParameterizedTest
+  @ValueSource(ints = {1, 5, 20})
+  void findsStatusLineWhoseReasonBeginsLikeOne(int partBytes) {
+    assertThat(read("HTTP/1.1 200 HTTP/1.1 \r\n", partBytes).isFound()).isTrue();
+  }
+
   /** The search ended with the first start that had no line end within 4 KB. */
   @ParameterizedTest
   @ValueSource(ints = {1, 100, 8_192, 20_000})
