--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/EmbeddedHead.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/EmbeddedHead.java
@@ -1,8 +1,6 @@
 package org.galenapost.daemon.gateway.upstream;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -16,9 +14,6 @@
   private static final int MAX_HEAD_CHARS = 4 * 1024;
   private static final int MAX_REASON_CHARS = 256;
   private static final String START = "HTTP/1.";
-  private static final ByteBuf START_BYTES =
-      Unpooled.unreleasableBuffer(
-          Unpooled.copiedBuffer(START, StandardCharsets.ISO_8859_1).asReadOnly());
   private static final int OVERLAP = START.length() - 1;
   private static final Pattern STATUS_LINE =
       Pattern.compile("HTTP/1\\.[01] \\d{3}[^\\r\\n]{0," + MAX_REASON_CHARS + "}+\\r\\n");
@@ -33,33 +28,24 @@
     if (isFound) {
       int length = Math.min(MAX_HEAD_CHARS - text.length(), part.readableBytes());
       text += part.toString(part.readerIndex(), length, StandardCharsets.ISO_8859_1);
-    } else if (text.startsWith(START)
-        || ByteBufUtil.indexOf(START_BYTES, part) >= 0
-        || isStartAcross(part)) {
-      search(text + part.toString(StandardCharsets.ISO_8859_1));
     } else {
-      text = end(text + end(part));
+      search(text + part.toString(StandardCharsets.ISO_8859_1));
     }
   }
 
   private void search(String all) {
+    int start = all.indexOf(START);
     Matcher statusLine = STATUS_LINE.matcher(all);
-    isFound = statusLine.find();
+    isFound = start >= 0 && statusLine.find(start);
     if (isFound) {
       int from = statusLine.start();
       text = all.substring(from, Math.min(all.length(), from + MAX_HEAD_CHARS));
     } else {
       int from = all.indexOf(START, Math.max(0, all.length() - MAX_LINE_CHARS));
-      text = from >= 0 ? all.substring(from) : end(all);
+      text = all.substring(from >= 0 ? from : Math.max(0, all.length() - OVERLAP));
     }
   }
 
-  private boolean isStartAcross(ByteBuf part) {
-    int length = Math.min(OVERLAP, part.readableBytes());
-    String seam = text + part.toString(part.readerIndex(), length, StandardCharsets.ISO_8859_1);
-    return seam.contains(START);
-  }
-
   /** Returns whether a status line has been found. */
   boolean isFound() {
     return isFound;
@@ -69,13 +55,4 @@
   String text() {
     return text;
   }
-
-  private static String end(String all) {
-    return all.substring(Math.max(0, all.length() - OVERLAP));
-  }
-
-  private static String end(ByteBuf part) {
-    int length = Math.min(OVERLAP, part.readableBytes());
-    return part.toString(part.writerIndex() - length, length, StandardCharsets.ISO_8859_1);
-  }
 }
