--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakChecks.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakChecks.java
@@ -23,7 +23,6 @@
   /** The statuses that guarantee that a call has not run and never will. */
   private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
-  private static final String SEAL = "X-Response-Seal";
   private static final int OK = 200;
   private static final int UNAUTHENTICATED = 401;
 
@@ -202,7 +201,7 @@
     boolean isStream = call.kind() == Kind.STREAM && answer.status() == OK;
     if (answer.status() == OK && !answer.isSealedFor(call.id())) {
       addViolation(call, "was answered by what is not its server's answer");
-    } else if (!isStream && answer.headers().containsKey(SEAL) && !isOfServer(call, answer)) {
+    } else if (!isStream && answer.isSealed() && !isOfServer(call, answer)) {
       addViolation(call, "got a sealed answer that differs from " + answersTo(call));
     }
     if (answer.status() != OK) {
--- a/standins/src/main/java/org/galenapost/standins/gateway/RawHttpClient.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/RawHttpClient.java
@@ -50,6 +50,11 @@
           && ServerStandin.sealOf(callId).equals(headers.get("X-Response-Seal"));
     }
 
+    /** Returns whether the response carries a seal. */
+    public boolean isSealed() {
+      return headers.containsKey("X-Response-Seal");
+    }
+
     /** Returns whether the connection cannot be reused after the response. */
     public boolean closesConnection() {
       return !isComplete || "close".equalsIgnoreCase(headers.get("Connection"));
