--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
@@ -25,6 +25,7 @@
 import org.galenapost.core.time.MonotonicClock;
 import org.galenapost.daemon.gateway.call.CallFormat;
 import org.galenapost.daemon.net.BrokenConnectionGuard;
+import org.galenapost.daemon.net.ClientSockets;
 import org.galenapost.daemon.net.KeepAliveProbes;
 import org.galenapost.daemon.net.StrictClientCodec;
 import org.galenapost.daemon.service.Service;
@@ -84,6 +85,7 @@
             .group(loop)
             .channel(NioSocketChannel.class)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
+            .option(ChannelOption.SO_SNDBUF, ClientSockets.SEND_BUFFER_BYTES)
             .option(ChannelOption.TCP_NODELAY, true);
     KeepAliveProbes.set(bootstrap::option);
   }
--- a/daemon/src/main/java/org/galenapost/daemon/net/BrokenConnectionGuard.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/BrokenConnectionGuard.java
@@ -4,7 +4,10 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.channels.ClosedChannelException;
@@ -15,10 +18,16 @@
  * a connection that the server has reset. A reset may show in a read or in a write of the request;
  * after either, this handler drops the end of the response. A failed write also shows as an
  * exception of the connection. It belongs behind the HTTP codec of every client.
+ *
+ * <p>A server that closes its socket with a part of the request unread ends its output first and is
+ * reset then. So if the connection ends regularly while the request is being written, the end of
+ * the response is held until the rest of the request is written.
  */
 public final class BrokenConnectionGuard extends ChannelDuplexHandler {
 
   private boolean isBroken;
+  private int pendingWrites;
+  private Object heldEnd;
 
   /** Adds a guard behind the HTTP codec of a connection. */
   public static void addTo(Channel channel) {
@@ -28,16 +37,48 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
-    if (isBroken && message instanceof LastHttpContent) {
+    if (message instanceof LastHttpContent && isBroken) {
       ReferenceCountUtil.release(message);
-      return;
+    } else if (message instanceof LastHttpContent && pendingWrites > 0 && hasEnded(context)) {
+      heldEnd = message;
+    } else {
+      context.fireChannelRead(message);
+    }
+  }
+
+  private static boolean hasEnded(ChannelHandlerContext context) {
+    return context.channel() instanceof DuplexChannel duplex && duplex.isInputShutdown();
+  }
+
+  /** Closes a connection that its server has ended, as if half-closed ones were not allowed. */
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof ChannelInputShutdownEvent && heldEnd == null) {
+      context.close();
     }
-    context.fireChannelRead(message);
+    context.fireUserEventTriggered(event);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    dropHeldEnd();
+    context.fireChannelInactive();
+  }
+
+  @Override
+  public void handlerRemoved(ChannelHandlerContext context) {
+    dropHeldEnd();
+  }
+
+  private void dropHeldEnd() {
+    ReferenceCountUtil.release(heldEnd);
+    heldEnd = null;
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     isBroken = true;
+    dropHeldEnd();
     context.fireExceptionCaught(cause);
   }
 
@@ -45,14 +86,39 @@
   public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
     ChannelPromise observed = promise.unvoid();
     observed.addListener((ChannelFuture written) -> onWritten(context, written));
+    pendingWrites++;
+    setHalfClosable(context.channel(), true);
     context.write(message, observed);
   }
 
   /** A regular end of the connection also fails what is left to write, as a closed channel. */
   private void onWritten(ChannelHandlerContext context, ChannelFuture written) {
+    pendingWrites--;
     Throwable cause = written.cause();
     if (cause != null && !(cause instanceof ClosedChannelException)) {
       exceptionCaught(context, cause);
     }
+    if (pendingWrites == 0) {
+      setHalfClosable(context.channel(), false);
+      fireHeldEnd(context);
+    }
+  }
+
+  private void fireHeldEnd(ChannelHandlerContext context) {
+    if (heldEnd == null) {
+      return;
+    }
+    Object end = heldEnd;
+    heldEnd = null;
+    context.fireChannelRead(end);
+    context.fireChannelReadComplete();
+    context.close();
+  }
+
+  /** A connection in use is half-closable only meanwhile, so that its end is noticed otherwise. */
+  private static void setHalfClosable(Channel channel, boolean isHalfClosable) {
+    if (channel instanceof DuplexChannel) {
+      channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, isHalfClosable);
+    }
   }
 }
--- a/daemon/src/main/java/org/galenapost/daemon/net/HttpClients.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/HttpClients.java
@@ -46,6 +46,7 @@
             .setConnectTimeout(connectTimeout)
             .setReadTimeout(READ_TIMEOUT_DISABLED)
             .setPooledConnectionIdleTimeout(IDLE_CONNECTION_TIMEOUT)
+            .setSoSndBuf(ClientSockets.SEND_BUFFER_BYTES)
             .setMaxRequestRetry(0)
             .setFollowRedirect(false)
             .setCookieStore(null)
--- a/daemon/src/main/java/org/galenapost/daemon/net/StrictClientCodec.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/StrictClientCodec.java
@@ -15,19 +15,28 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
+import java.util.Optional;
+import java.util.regex.Pattern;
 
 /**
  * Encodes requests and decodes responses like {@code HttpClientCodec}, for connections that carry
  * one request at a time. Bytes that arrive while no request waits for its response belong to none
  * and may be a part of one; decoded together with the next response they would give it their status
  * or swallow it. The codec drops them, fires {@link UnrequestedBytes} and closes the connection. A
- * head that was read from parts of two is decoded as a failure.
+ * head that was read from parts of two, one whose status has not three digits from 100 on, and
+ * informational responses without end are decoded as failures.
  */
 public final class StrictClientCodec
     extends CombinedChannelDuplexHandler<StrictClientCodec.Decoder, StrictClientCodec.Encoder> {
 
+  private static final Pattern STATUS = Pattern.compile("[1-9]\\d\\d");
+
+  /** Servers send few informational responses; without a bound they could delay the final one. */
+  private static final int MAX_INFORMATIONAL_RESPONSES = 16;
+
   private HttpMethod requestMethod;
   private boolean isResponseAwaited;
+  private int informationalResponses;
 
   /** Creates the codec of one connection, with the limits of the heads of responses. */
   public StrictClientCodec(HttpDecoderConfig config) {
@@ -73,17 +82,33 @@
     private void onDecoded(Object message) {
       if (message instanceof HttpResponse response) {
         isInformational = isInformational(response);
-        MergedHeads.findSign(response)
-            .filter(sign -> response.decoderResult().isSuccess())
-            .ifPresent(sign -> response.setDecoderResult(failure(sign)));
+        informationalResponses += isInformational ? 1 : 0;
+        faultOf(response)
+            .filter(fault -> response.decoderResult().isSuccess())
+            .ifPresent(fault -> response.setDecoderResult(failure(fault)));
       }
       if (message instanceof LastHttpContent && !isInformational) {
         isResponseAwaited = false;
       }
     }
 
-    private static DecoderResult failure(String mergeSign) {
-      return DecoderResult.failure(new CorruptedFrameException("a head made of two: " + mergeSign));
+    private Optional<String> faultOf(HttpResponse response) {
+      return informationalResponses > MAX_INFORMATIONAL_RESPONSES
+          ? Optional.of(informationalResponses + " informational responses to one request")
+          : MergedHeads.findSign(response).map(sign -> "a head made of two: " + sign);
+    }
+
+    private static DecoderResult failure(String fault) {
+      return DecoderResult.failure(new CorruptedFrameException(fault));
+    }
+
+    /** The library takes any number, and no client knows what others than these mean. */
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+      if (!STATUS.matcher(initialLine[1]).matches()) {
+        throw new CorruptedFrameException("not a status of HTTP: " + initialLine[1]);
+      }
+      return super.createMessage(initialLine);
     }
 
     /** The decoder would drop the length, with which the end of the response is in doubt. */
@@ -128,6 +153,7 @@
       if (message instanceof HttpRequest request) {
         requestMethod = request.method();
         isResponseAwaited = true;
+        informationalResponses = 0;
       }
       super.encode(context, message, out);
     }
--- a/daemon/src/main/java/org/galenapost/daemon/platform/PlatformHttpClient.java
+++ b/daemon/src/main/java/org/galenapost/daemon/platform/PlatformHttpClient.java
@@ -18,6 +18,7 @@
 import org.galenapost.core.platform.PlatformCircuitBreaker;
 import org.galenapost.core.platform.PlatformError;
 import org.galenapost.daemon.net.ClientPipelines;
+import org.galenapost.daemon.net.ClientSockets;
 import org.galenapost.daemon.net.IpAddresses;
 import org.galenapost.daemon.net.KeepAliveProbes;
 import org.galenapost.daemon.service.Service;
@@ -54,6 +55,7 @@
             .setMaxConnections(MAX_CONNECTIONS)
             .setConnectTimeout(CONNECT_TIMEOUT)
             .setPooledConnectionIdleTimeout(IDLE_CONNECTION_TIMEOUT)
+            .setSoSndBuf(ClientSockets.SEND_BUFFER_BYTES)
             .setMaxRequestRetry(0)
             .setFollowRedirect(false)
             .setCookieStore(null)
--- a/daemon/src/test/java/org/galenapost/daemon/platform/PlatformHttpClientTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/platform/PlatformHttpClientTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class PlatformHttpClientTest {
 
@@ -48,6 +49,50 @@
     }
   }
 
+  /** A write whose answer cannot be read may have been done. */
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "099", "1000", "0200"})
+  void takesAnswerWithStatusThatIsNoneOfHttpForLost(String status) throws Exception {
+    EventLoops eventLoops = new EventLoops(1);
+    try (ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      PlatformHttpClient client = client(eventLoops, socket.getLocalPort());
+      CompletableFuture<Void> server =
+          CompletableFuture.runAsync(() -> answerWithStatus(socket, status));
+
+      Either<PlatformError, Response> result = resultOf(client, "/objects/servers");
+
+      assertThat(result.getLeft()).isInstanceOf(PlatformError.AnswerLost.class);
+      client.stop();
+      server.join();
+    } finally {
+      eventLoops.stop();
+    }
+  }
+
+  /** The regular end that precedes the reset made a part of the answer look whole. */
+  @Test
+  void takesAnswerForLostIfTheStoreClosesWithTheRequestUnread() throws Exception {
+    EventLoops eventLoops = new EventLoops(1);
+    try (ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      PlatformHttpClient client = client(eventLoops, socket.getLocalPort());
+      CompletableFuture<Void> server = CompletableFuture.runAsync(() -> answerHalfAndClose(socket));
+      String json = "\"" + "x".repeat(400_000) + "\"";
+
+      Either<PlatformError, Response> result =
+          client
+              .call(client.jsonRequest("PUT", "/objects/a/b", json))
+              .toCompletableFuture()
+              .get(2 * TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+
+      assertThat(result.isLeft()).isTrue();
+      assertThat(result.getLeft()).isInstanceOf(PlatformError.AnswerLost.class);
+      client.stop();
+      server.join();
+    } finally {
+      eventLoops.stop();
+    }
+  }
+
   /** A write that had failed was taken for done, or the next call was lost. */
   @ParameterizedTest
   @CsvSource({"true, false", "false, true"})
@@ -88,6 +133,28 @@
         settings, new PlatformCircuitBreaker(MonotonicClock.system()), eventLoops.group());
   }
 
+  private static void answerWithStatus(ServerSocket socket, String status) {
+    try (Socket connection = socket.accept()) {
+      connection.getInputStream().readNBytes(FIRST_BYTES);
+      String answer = "HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\n{}";
+      connection.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+      connection.getInputStream().readAllBytes();
+    } catch (IOException e) {
+      // The client has closed the connection.
+    }
+  }
+
+  private static void answerHalfAndClose(ServerSocket socket) {
+    try (Socket connection = socket.accept()) {
+      connection.getInputStream().readNBytes(FIRST_BYTES);
+      connection
+          .getOutputStream()
+          .write("HTTP/1.1 200 OK\r\n\r\n{\"entries\":[".getBytes(StandardCharsets.US_ASCII));
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   private static void answerHalfAndReset(ServerSocket socket) {
     try (Socket connection = socket.accept()) {
       connection.getInputStream().readNBytes(FIRST_BYTES);
--- a/daemon/src/test/java/org/galenapost/daemon/relay/ServiceClientTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/relay/ServiceClientTest.java
@@ -92,6 +92,51 @@
     }
   }
 
+  /** The regular end that precedes the reset made a part of the answer look whole. */
+  @Test
+  void doesNotTakeAnswerWithoutLengthForWholeIfItsRequestIsUnread() throws Exception {
+    try (ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      startThread(() -> answerHalfAndClose(socket));
+
+      assertThat(outcomeOf(socket.getLocalPort(), "/1", new byte[400_000]))
+          .isInstanceOfSatisfying(
+              ServiceOutcome.Failed.class,
+              failure -> assertThat(failure.verdict()).isNotEqualTo(Verdict.NOT_RUN));
+    }
+  }
+
+  /** The caller got the answer with a status that no client can act on, or with another one. */
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "099", "1000", "0200"})
+  void failsCallWhoseAnswerHasStatusThatIsNoneOfHttp(String status) throws Exception {
+    try (ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      startThread(() -> answerWithStatus(socket, status));
+
+      assertThat(outcomeOf(socket.getLocalPort(), "/1", new byte[0]))
+          .isInstanceOfSatisfying(
+              ServiceOutcome.Failed.class,
+              failure -> assertThat(failure.verdict()).isNotEqualTo(Verdict.NOT_RUN));
+    }
+  }
+
+  private static void answerHalfAndClose(ServerSocket socket) throws IOException {
+    try (Socket connection = socket.accept()) {
+      connection.getInputStream().readNBytes(FIRST_BYTES);
+      connection
+          .getOutputStream()
+          .write("HTTP/1.1 200 OK\r\n\r\nhalf of".getBytes(StandardCharsets.US_ASCII));
+    }
+  }
+
+  private static void answerWithStatus(ServerSocket socket, String status) throws IOException {
+    try (Socket connection = socket.accept()) {
+      connection.getInputStream().readNBytes(FIRST_BYTES);
+      String answer = "HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\nok";
+      connection.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+      connection.getInputStream().readAllBytes();
+    }
+  }
+
   private static void answerHalfAndReset(ServerSocket socket) throws IOException {
     try (Socket connection = socket.accept()) {
       connection.getInputStream().readNBytes(FIRST_BYTES);
