--- a/core/src/main/java/org/galenapost/core/configuration/WatchSharing.java
+++ b/core/src/main/java/org/galenapost/core/configuration/WatchSharing.java
@@ -89,10 +89,12 @@
     }
     List<KindRevision> lagging = new ArrayList<>();
     for (KindRevision reported : report.revisions()) {
-      long held = state.completeRevision(reported.kind());
-      if (reported.revision() > held && assignment.isLarge(reported.kind())) {
+      if (!isBehind(reported)) {
+        continue;
+      }
+      if (assignment.isLarge(reported.kind())) {
         poll.accept(reported.kind());
-      } else if (reported.revision() > held) {
+      } else {
         lagging.add(state.revision(reported.kind()));
       }
     }
@@ -100,4 +102,14 @@
       bus.send(sender, new ConfigurationMessage.Pull(lagging));
     }
   }
+
+  /**
+   * Returns whether a report shows content that this daemon lacks. The revision of a kind rises
+   * with every change in the store, so if the content states its version, only that one counts.
+   */
+  private boolean isBehind(KindRevision reported) {
+    return ContentVersions.isVersioned(reported.kind())
+        ? reported.contentVersion() > state.contentVersion(reported.kind())
+        : reported.revision() > state.completeRevision(reported.kind());
+  }
 }
--- a/core/src/test/java/org/galenapost/core/testing/FakePlatform.java
+++ b/core/src/test/java/org/galenapost/core/testing/FakePlatform.java
@@ -26,6 +26,7 @@
   private final List<ObjectKey> deletedKeys = new ArrayList<>();
   private final List<Long> deletedVersions = new ArrayList<>();
   private final List<Runnable> pendingWatches = new ArrayList<>();
+  private final List<Runnable> watchEnds = new ArrayList<>();
   private long version;
   private int writes;
 
@@ -59,6 +60,14 @@
     notified.forEach(Runnable::run);
   }
 
+  /** Ends the waiting watches without a change, as their longest wait does. */
+  public void endWatches() {
+    List<Runnable> ended = List.copyOf(watchEnds);
+    watchEnds.clear();
+    pendingWatches.clear();
+    ended.forEach(Runnable::run);
+  }
+
   /** The fault of one write. */
   public enum Fault {
     NONE,
@@ -169,6 +178,8 @@
       }
       CompletableFuture<Either<PlatformError, Changes>> answer = new CompletableFuture<>();
       waitForChange(kind, sinceRevision, answer);
+      watchEnds.add(
+          () -> answer.complete(Either.right(new Changes(version, List.of(), List.of(), false))));
       return answer;
     }
 
