--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/Attempt.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/Attempt.java
@@ -231,6 +231,11 @@
       return;
     }
     for (ByteBuf event = splitter.next(); event != null; event = splitter.next()) {
+      if (!EventSplitter.hasOnlyFields(event)) {
+        event.release();
+        fail(SendFailure.malformed("a line of an event is no field"));
+        return;
+      }
       EventRelay.RelayResult result = relay.relay(head, event, context.clock().nanos());
       if (result == EventRelay.RelayResult.OUT_OF_ORDER) {
         fail(SendFailure.malformed("gap in the event ids after " + relay.lastEventId()));
@@ -289,6 +294,10 @@
     if (splitter.hasPartialEvent()) {
       fail(SendFailure.closed("stream ended inside an event"));
     } else if (end()) {
+      ByteBuf blankLines = splitter.trailingBlankLines();
+      if (blankLines != null) {
+        relay.relayBlankLines(head, blankLines);
+      }
       listener.onStreamComplete(this, head);
     }
   }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/EventRelay.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/EventRelay.java
@@ -65,6 +65,12 @@
     }
   }
 
+  /** Relays the blank lines that follow the last event; takes ownership of them. */
+  void relayBlankLines(ResponseHead head, ByteBuf blankLines) {
+    startStream(head);
+    caller.writeEvents(blankLines);
+  }
+
   /** Completes the stream; a stream without events still starts with its head. */
   void complete(ResponseHead head) {
     startStream(head);
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/EventSplitter.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/EventSplitter.java
@@ -8,12 +8,14 @@
 
 /**
  * Splits a stream of server-sent events into complete events. Buffers an incomplete event until the
- * rest of it arrives.
+ * rest of it arrives. Blank lines between events belong to the event that follows them.
  */
 final class EventSplitter {
 
   static final int MAX_EVENT_BYTES = 1024 * 1024;
   private static final byte CARRIAGE_RETURN = '\r';
+  private static final byte LINE_FEED = '\n';
+  private static final byte COLON = ':';
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
   private static final int MAX_ID_DIGITS = 18;
 
@@ -37,19 +39,29 @@
   ByteBuf next() {
     int lineStart = pending.readerIndex();
     int end = pending.writerIndex();
+    boolean hasFields = false;
     while (lineStart < end) {
       int lineEnd = pending.forEachByte(lineStart, end - lineStart, ByteProcessor.FIND_LF);
       if (lineEnd < 0) {
         return null;
       }
-      if (isBlank(lineStart, lineEnd)) {
+      boolean isBlank = isBlank(lineStart, lineEnd);
+      if (isBlank && hasFields) {
         return pending.readBytes(lineEnd + 1 - pending.readerIndex());
       }
+      hasFields = hasFields || !isBlank;
       lineStart = lineEnd + 1;
     }
     return null;
   }
 
+  /** Returns the blank lines that follow the last event, or null if there are none. */
+  ByteBuf trailingBlankLines() {
+    return pending.isReadable() && !hasPartialEvent()
+        ? pending.readBytes(pending.readableBytes())
+        : null;
+  }
+
   private boolean isBlank(int start, int end) {
     boolean isEmpty = start == end;
     return isEmpty || (end - start == 1 && pending.getByte(start) == CARRIAGE_RETURN);
@@ -57,7 +69,30 @@
 
   /** Returns whether a part of an event is buffered. */
   boolean hasPartialEvent() {
-    return pending.isReadable();
+    return pending.forEachByte(value -> value == CARRIAGE_RETURN || value == LINE_FEED) >= 0;
+  }
+
+  /**
+   * Returns whether each line of an event holds a field or a comment. A line without a colon is
+   * allowed in general, but no server writes one; it shows framing of chunks in the content, as
+   * after a stray digit in front of the size of a chunk.
+   */
+  static boolean hasOnlyFields(ByteBuf event) {
+    int lineStart = event.readerIndex();
+    int end = event.writerIndex();
+    while (lineStart < end) {
+      int found = event.forEachByte(lineStart, end - lineStart, ByteProcessor.FIND_LF);
+      int lineEnd = found < 0 ? end : found;
+      boolean hasColon = event.indexOf(lineStart, lineEnd, COLON) >= 0;
+      boolean isBlank =
+          lineEnd == lineStart
+              || (lineEnd - lineStart == 1 && event.getByte(lineStart) == CARRIAGE_RETURN);
+      if (!hasColon && !isBlank) {
+        return false;
+      }
+      lineStart = lineEnd + 1;
+    }
+    return true;
   }
 
   /** Returns the number of buffered bytes. */
