--- a/core/src/main/java/org/galenapost/core/cell/FleetCells.java
+++ b/core/src/main/java/org/galenapost/core/cell/FleetCells.java
@@ -81,6 +81,16 @@
     return cellCount > 1;
   }
 
+  /**
+   * Returns the ids of the daemons that share their watches of the platform with this one: those of
+   * its cell, or all in a fleet that has the size of a cell; none in a smaller fleet, in which the
+   * loss of two watchers is more likely and saves little.
+   */
+  public Set<String> watchPeers() {
+    refreshDaemons();
+    return cellPeers.size() + 1 >= DAEMONS_PER_CELL ? cellPeers : Set.of();
+  }
+
   /** Returns the ids of the other daemons in this daemon's cell. */
   public Set<String> peers() {
     refreshDaemons();
--- a/core/src/test/java/org/galenapost/core/cell/FleetCellsProperties.java
+++ b/core/src/test/java/org/galenapost/core/cell/FleetCellsProperties.java
@@ -47,6 +47,16 @@
     }
   }
 
+  /** In a fleet of a cell's size each daemon watched the platform, ten calls for one that tells. */
+  @Property(tries = 60)
+  void watchesAreSharedFromTheSizeOfACellOn(@ForAll @IntRange(min = 1, max = 60) int daemons) {
+    addServers(DATA_CENTRES);
+    FleetCells own = cellsOf("d0", daemons);
+
+    assertThat(own.watchPeers())
+        .isEqualTo(daemons < FleetCells.DAEMONS_PER_CELL ? Set.of() : own.peers());
+  }
+
   @Property(tries = 60)
   void everyServerIsInACellAndEveryCellHasServersOfEachDataCentre(
       @ForAll @IntRange(min = 1, max = 120) int daemons,
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -200,7 +200,7 @@
             settings.daemon().id(),
             ConfigurationKind.GATEWAY_KINDS,
             Set.of(ConfigurationKind.GATEWAY),
-            () -> cells.isSplit() ? cells.peers() : Set.of(),
+            cells::watchPeers,
             clock,
             GatewayLog::watchAssignmentChanged);
     return new ConfigurationFollower(
