--- a/core/src/main/java/org/galenapost/core/platform/ObjectStore.java
+++ b/core/src/main/java/org/galenapost/core/platform/ObjectStore.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
 /** A client of the platform's object API, with versions, conditional updates and watches. */
@@ -33,6 +34,20 @@
   CompletionStage<Either<PlatformError, VersionedObject>> put(
       ObjectKey key, long expectedVersion, String json);
 
+  /**
+   * Writes the status of an object if the object's current version equals the expected one. The
+   * rest of the object stays as it is. The store of a platform without statuses rejects the call.
+   *
+   * @param key the key of the object
+   * @param expectedVersion the version last read
+   * @param json the status as JSON text
+   */
+  default CompletionStage<Either<PlatformError, VersionedObject>> putStatus(
+      ObjectKey key, long expectedVersion, String json) {
+    return CompletableFuture.completedFuture(
+        Either.left(new PlatformError.Invalid("the store keeps no statuses")));
+  }
+
   /**
    * Deletes an object if its current version equals the expected one.
    *
--- /dev/null
+++ b/core/src/main/java/org/galenapost/core/rollout/ServiceRollouts.java
@@ -0,0 +1,161 @@
+package org.galenapost.core.rollout;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+
+/** The versions of one service that this daemon sends to, and the sends in progress. */
+final class ServiceRollouts {
+
+  private final Function<RolloutOrder, Trial> newTrial;
+  private final Map<String, Trial> trials = new HashMap<>();
+  private final Map<String, Integer> sendsInProgress = new HashMap<>();
+  private final Set<String> allowed = new HashSet<>();
+  private Optional<Trial> current = Optional.empty();
+
+  ServiceRollouts(Function<RolloutOrder, Trial> newTrial) {
+    this.newTrial = newTrial;
+  }
+
+  Optional<Trial> current() {
+    return current;
+  }
+
+  /** Returns the trial of a version, also of an order that is gone. */
+  Optional<Trial> trialOf(String version) {
+    return Optional.ofNullable(trials.get(version));
+  }
+
+  /** Takes over an order. A second target stops the first one and is not tried itself. */
+  void apply(RolloutOrder order) {
+    Optional<Trial> interrupted =
+        current.filter(
+            trial -> !trial.stage().isFinal() && !trial.order().target().equals(order.target()));
+    boolean isAgain = current.filter(t -> t.order().target().equals(order.target())).isPresent();
+    Trial trial = trials.computeIfAbsent(order.target(), target -> newTrial.apply(order));
+    current = Optional.of(trial);
+    trial.update(order);
+    interrupted.ifPresent(
+        first -> {
+          String why =
+              "two targets were ordered: " + first.order().target() + " and then " + order.target();
+          first.enter(RolloutStage.REVERTED, why);
+          trial.enter(RolloutStage.REVERTED, why);
+        });
+    if (trial.stage() == RolloutStage.COMPLETED) {
+      allowed.add(order.target());
+    } else if (!isAgain) {
+      allowed.remove(order.target());
+    }
+  }
+
+  /** Forgets the current order; its target gets no more requests unless it was completed. */
+  void withdraw() {
+    current = Optional.empty();
+  }
+
+  /** Returns which versions a send may go to. */
+  VersionShare share(Set<String> running) {
+    if (running.stream().noneMatch(allowed::contains)) {
+      // This daemon has just started, or the service has moved while it was cut off.
+      allowed.addAll(running);
+      trials.values().stream()
+          .filter(trial -> trial.stage() != RolloutStage.COMPLETED)
+          .map(trial -> trial.order().target())
+          .filter(target -> !running.equals(Set.of(target)) || isReverted(target))
+          .forEach(allowed::remove);
+    }
+    boolean maySend = current.filter(this::maySendToTarget).isPresent();
+    Optional<String> target = current.map(trial -> trial.order().target());
+    Set<String> denied = new HashSet<>(running);
+    denied.removeAll(allowed);
+    if (maySend) {
+      target.ifPresent(denied::remove);
+    }
+    return new VersionShare(denied, maySend ? target : Optional.empty());
+  }
+
+  private boolean isReverted(String version) {
+    return trials.get(version).stage() == RolloutStage.REVERTED;
+  }
+
+  private boolean maySendToTarget(Trial trial) {
+    return switch (trial.stage()) {
+      case TRIAL -> trial.isLeased() && trial.budget().hasRoom();
+      case SHIFTING -> trial.isLeased();
+      case COMPLETED -> true;
+      case REVERTED -> false;
+    };
+  }
+
+  void onRequest() {
+    current.ifPresent(trial -> trial.budget().recordRequest());
+  }
+
+  /** Counts a send to a version. */
+  RolloutSend onSend(String version, String route) {
+    sendsInProgress.merge(version, 1, Integer::sum);
+    current
+        .filter(trial -> trial.order().target().equals(version))
+        .ifPresent(trial -> trial.budget().recordSend());
+    return new Send(version, route, current);
+  }
+
+  /** Returns the sends to other versions than the given one that have not ended. */
+  int othersInProgress(String version) {
+    return sendsInProgress.entrySet().stream()
+        .filter(entry -> !entry.getKey().equals(version))
+        .mapToInt(Map.Entry::getValue)
+        .sum();
+  }
+
+  /** A send that was begun before the order does not count as a result. */
+  private final class Send implements RolloutSend {
+
+    private final String version;
+    private final String route;
+    private final Optional<Trial> trial;
+    private boolean hasEvents;
+    private boolean isEnded;
+
+    Send(String version, String route, Optional<Trial> trial) {
+      this.version = version;
+      this.route = route;
+      this.trial = trial;
+    }
+
+    @Override
+    public void onFirstEvent(double elapsedMs) {
+      if (!hasEvents) {
+        hasEvents = true;
+        record(AnswerOutcome.ANSWERED, elapsedMs);
+      }
+    }
+
+    @Override
+    public void end(AnswerOutcome outcome, double elapsedMs) {
+      if (isEnded) {
+        return;
+      }
+      if (!hasEvents || outcome != AnswerOutcome.ANSWERED) {
+        record(outcome, elapsedMs);
+      }
+      abandon();
+    }
+
+    @Override
+    public void abandon() {
+      if (!isEnded) {
+        isEnded = true;
+        sendsInProgress.computeIfPresent(version, (v, count) -> count > 1 ? count - 1 : null);
+      }
+    }
+
+    private void record(AnswerOutcome outcome, double elapsedMs) {
+      trial.ifPresent(t -> t.record(t.order().target().equals(version), route, outcome, elapsedMs));
+    }
+  }
+}
--- a/core/src/test/java/org/galenapost/core/testing/FakePlatform.java
+++ b/core/src/test/java/org/galenapost/core/testing/FakePlatform.java
@@ -1,5 +1,7 @@
 package org.galenapost.core.testing;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -12,6 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
+import org.galenapost.core.json.Json;
 import org.galenapost.core.platform.Changes;
 import org.galenapost.core.platform.Listing;
 import org.galenapost.core.platform.ObjectKey;
@@ -145,6 +148,18 @@
           });
     }
 
+    @Override
+    public CompletionStage<Either<PlatformError, VersionedObject>> putStatus(
+        ObjectKey key, long expectedVersion, String json) {
+      VersionedObject held = objects.get(path(key));
+      if (held == null) {
+        return completed(Either.left(new PlatformError.Conflict(key, Optional.empty())));
+      }
+      ObjectNode document = (ObjectNode) Json.read(held.json(), JsonNode.class).get();
+      document.set("status", Json.read(json, JsonNode.class).get());
+      return put(key, expectedVersion, document.toString());
+    }
+
     @Override
     public CompletionStage<Either<PlatformError, Long>> delete(
         ObjectKey key, long expectedVersion) {
