--- a/daemon/src/main/java/org/galenapost/daemon/settings/GatewaySettings.java
+++ b/daemon/src/main/java/org/galenapost/daemon/settings/GatewaySettings.java
@@ -4,6 +4,8 @@
 import io.vavr.control.Either;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
+import org.galenapost.core.rollout.RolloutSettings;
 
 /**
  * The settings of one daemon that serves as a gateway.
@@ -16,6 +18,7 @@
  * @param platform the platform's object API
  * @param repeats the limits on retries
  * @param timings the timeouts and drain times
+ * @param rollouts the bounds of roll-outs; without them the daemon takes part in none
  */
 public record GatewaySettings(
     DaemonSettings daemon,
@@ -25,7 +28,8 @@
     PeerSettings peer,
     PlatformSettings platform,
     RepeatSettings repeats,
-    GatewayTimings timings) {
+    GatewayTimings timings,
+    Optional<RolloutSettings> rollouts) {
 
   /**
    * Reads and validates a YAML file.
@@ -53,7 +57,8 @@
             root.section("peer", PeerSettings::bind),
             root.section("platform", PlatformSettings::bindForGateway),
             root.section("repeats", RepeatSettings::bind),
-            root.section("timings", GatewayTimings::bind));
+            root.section("timings", GatewayTimings::bind),
+            root.section("rollouts", RolloutSection::bind));
     root.rejectUnknownKeys();
     return settings;
   }
