--- a/scenarios/src/main/java/org/galenapost/scenarios/process/JavaCommand.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/process/JavaCommand.java
@@ -34,7 +34,22 @@
    * @param arguments the program arguments
    */
   public static List<String> withLog(String mainClass, List<String> arguments) {
-    return of(List.of(LOG_CONFIGURATION), mainClass, arguments);
+    return withLog(List.of(), mainClass, arguments);
+  }
+
+  /**
+   * Returns the command line for a main class that logs to standard error, with further options of
+   * the JVM. Of two options that set the same limit, such as the heap, the later one holds.
+   *
+   * @param jvmOptions the options, which follow the usual ones
+   * @param mainClass the fully qualified name of the main class
+   * @param arguments the program arguments
+   */
+  public static List<String> withLog(
+      List<String> jvmOptions, String mainClass, List<String> arguments) {
+    List<String> options = new ArrayList<>(jvmOptions);
+    options.add(LOG_CONFIGURATION);
+    return of(options, mainClass, arguments);
   }
 
   private static List<String> of(
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakDaemon.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakDaemon.java
@@ -53,6 +53,7 @@
   private final Path folder;
   private final Path settingsFile;
   private final Ports ports;
+  private final List<String> jvmOptions;
   private final AtomicBoolean isRestarting = new AtomicBoolean();
   private volatile ManagedProcess process;
   private volatile boolean isStopRequested;
@@ -80,6 +81,19 @@
 
   SoakDaemon(
       String id, String dataCentre, Path folder, Ports ports, List<Ports> allPorts, int storePort) {
+    this(id, dataCentre, folder, ports, allPorts, storePort, List.of());
+  }
+
+  /** Creates a daemon whose process runs with further options of the JVM. */
+  SoakDaemon(
+      String id,
+      String dataCentre,
+      Path folder,
+      Ports ports,
+      List<Ports> allPorts,
+      int storePort,
+      List<String> jvmOptions) {
+    this.jvmOptions = List.copyOf(jvmOptions);
     this.id = id;
     this.folder = folder;
     this.ports = ports;
@@ -109,6 +123,14 @@
     return ports.caller();
   }
 
+  Ports ports() {
+    return ports;
+  }
+
+  long pid() {
+    return process.pid();
+  }
+
   /** Reserves the daemon for a restart; returns false if a restart is already in progress. */
   boolean tryBeginRestart() {
     return isRestarting.compareAndSet(false, true);
@@ -122,7 +144,9 @@
     isStopRequested = false;
     List<String> command =
         JavaCommand.withLog(
-            PlatformGateway.class.getName(), List.of("--settings", settingsFile.toString()));
+            jvmOptions,
+            PlatformGateway.class.getName(),
+            List.of("--settings", settingsFile.toString()));
     process = ManagedProcess.start(id, command, folder.resolve(id + ".log"));
   }
 
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFleet.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFleet.java
@@ -37,6 +37,11 @@
 
   /** Starts the store, the servers and all links, but not the daemons. */
   SoakFleet(Path folder, int daemonCount) {
+    this(folder, daemonCount, List.of());
+  }
+
+  /** Starts the store, the servers and all links; the daemons run with further JVM options. */
+  SoakFleet(Path folder, int daemonCount, List<String> jvmOptions) {
     store.start();
     for (String service :
         List.of(StoreContentWriter.STREAM_SERVICE, StoreContentWriter.UNARY_SERVICE)) {
@@ -54,7 +59,8 @@
       storeEndpoints.add(storeEndpoint);
       LinkStandin storeLink = link(storeLinks, storeEndpoint.port());
       daemons.add(
-          new SoakDaemon("d" + i, dataCentre(i), folder, ports.get(i), ports, storeLink.port()));
+          new SoakDaemon(
+              "d" + i, dataCentre(i), folder, ports.get(i), ports, storeLink.port(), jvmOptions));
       link(callerLinks, ports.get(i).caller());
     }
   }
@@ -95,6 +101,11 @@
     return store;
   }
 
+  /** Returns the writer of the store's objects, which the caller must not use concurrently. */
+  StoreContentWriter content() {
+    return content;
+  }
+
   synchronized void writeConfig(String... keys) {
     content.writeConfig(keys);
   }
--- a/standins/src/main/java/org/galenapost/standins/gateway/StoreContentWriter.java
+++ b/standins/src/main/java/org/galenapost/standins/gateway/StoreContentWriter.java
@@ -62,6 +62,11 @@
     limits.put("max_body_bytes", bytes);
   }
 
+  /** Sets a limit for callers by its name, starting with the next configuration written. */
+  public void setLimit(String name, long value) {
+    limits.put(name, value);
+  }
+
   /** Sets the latency target of all routes, starting with the next configuration written. */
   public void setLatencyTargetMs(long targetMs) {
     latencyTargetMs = targetMs;
--- a/standins/src/main/java/org/galenapost/standins/http/HttpServer.java
+++ b/standins/src/main/java/org/galenapost/standins/http/HttpServer.java
@@ -26,6 +26,11 @@
   /** The address on which every stand-in listens. */
   public static final String LOOPBACK_IP = "127.0.0.1";
 
+  /** Takes the largest head of a caller, which is longer with the headers that a gateway adds. */
+  private static final int MAX_HEAD_BYTES = 64 * 1024;
+
+  private static final int MAX_CHUNK_BYTES = 8 * 1024;
+
   private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
   private static final int BACKLOG_CONNECTIONS = 1024;
   private static final int STOP_TIMEOUT_MS = 2_000;
@@ -100,7 +105,9 @@
       @Override
       protected void initChannel(SocketChannel channel) {
         connections.add(channel);
-        channel.pipeline().addLast(new HttpServerCodec());
+        channel
+            .pipeline()
+            .addLast(new HttpServerCodec(MAX_HEAD_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES));
         channel.pipeline().addLast(new HttpObjectAggregator(MAX_BODY_BYTES));
         channel.pipeline().addLast(exchangeHandler);
       }
