--- a/core/src/main/java/org/galenapost/core/verdict/RefusalReason.java
+++ b/core/src/main/java/org/galenapost/core/verdict/RefusalReason.java
@@ -25,6 +25,7 @@
   CRASHES_SERVERS("crashes-servers", 503),
   WORKSPACE_LIMIT("workspace-limit", 429),
   QUEUE_FULL("queue-full", 429),
+  HEAD_MEMORY_FULL("head-memory-full", 503),
   BODY_MEMORY_FULL("body-memory-full", 503),
   DEADLINE_UNREACHABLE("deadline-unreachable", 503),
   NO_SERVER("no-server", 503),
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -54,6 +54,7 @@
 import org.galenapost.daemon.lifecycle.PendingWork;
 import org.galenapost.daemon.metrics.DaemonMetrics;
 import org.galenapost.daemon.net.EventLoops;
+import org.galenapost.daemon.net.HeadBudget;
 import org.galenapost.daemon.peer.PeerAddress;
 import org.galenapost.daemon.peer.TcpPeerBus;
 import org.galenapost.daemon.platform.PlatformHttpClient;
@@ -84,6 +85,8 @@
   private final Scheduler scheduler = new EventLoopScheduler(loop);
   private final DaemonMetrics metrics = new DaemonMetrics();
   private final PendingWork calls = new PendingWork();
+  private final HeadBudget heads =
+      HeadBudget.ofHeap(Runtime.getRuntime().maxMemory(), new HeadRefusalLog(clock)::recordRefusal);
   private final List<Service> services = new ArrayList<>();
   private final Optional<ServerSocketChannel> callerSocket;
   private final ServerAddresses serverAddresses;
@@ -173,8 +176,9 @@
     Supplier<Optional<RouteTable>> routesInForce =
         () -> follower.isReady() ? routes.current() : Optional.empty();
     RequestValidator validator = new RequestValidator(format, routesInForce, state, tickets);
-    CallerFrontend frontend = new CallerFrontend(context, validator, routesInForce, state, calls);
-    GatewayListeners listeners = new GatewayListeners(settings, eventLoops, state, metrics);
+    CallerFrontend frontend =
+        new CallerFrontend(context, validator, routesInForce, state, calls, heads);
+    GatewayListeners listeners = new GatewayListeners(settings, eventLoops, state, metrics, heads);
     HttpListener caller = listeners.callers(frontend, callerSocket);
     callerListener = Optional.of(caller);
     HttpListener operator = listeners.operators();
@@ -368,7 +372,7 @@
   private ServerConnectionPool serverConnectionPool() {
     ServerConnectionPool pool =
         new ServerConnectionPool(
-            loop, format, clock, settings.timings().connectTimeout(), serverAddresses);
+            loop, format, clock, settings.timings().connectTimeout(), serverAddresses, heads);
     services.add(pool);
     return pool;
   }
@@ -404,6 +408,10 @@
     metrics.registerGauge("galenapost.caller.connections", frontend::connectionCount);
     metrics.registerGauge("galenapost.gateway.body.bytes.held", frontend::bodyBytes);
     metrics.registerGauge("galenapost.gateway.body.bytes.max", frontend::maxBodyBytes);
+    metrics.registerGauge("galenapost.gateway.head.bytes.held", heads::heldBytes);
+    metrics.registerGauge("galenapost.gateway.head.bytes.max", heads::maxBytes);
+    metrics.registerGauge("galenapost.gateway.heads.refused", heads::refusedCount);
+    metrics.registerGauge("galenapost.gateway.heads.evicted", heads::evictedCount);
     metrics.registerGauge("galenapost.gateway.instances", directory::size);
     metrics.registerGauge(
         "galenapost.gateway.answer.bytes.held", context.answerBuffers()::totalBytes);
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayListeners.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayListeners.java
@@ -12,6 +12,7 @@
 import org.galenapost.daemon.lifecycle.DaemonState;
 import org.galenapost.daemon.metrics.DaemonMetrics;
 import org.galenapost.daemon.net.EventLoops;
+import org.galenapost.daemon.net.HeadBudget;
 import org.galenapost.daemon.operator.HealthRoutes;
 import org.galenapost.daemon.operator.OperatorPipeline;
 import org.galenapost.daemon.operator.OperatorRoutes;
@@ -30,9 +31,15 @@
   private final EventLoops eventLoops;
   private final DaemonState state;
   private final DaemonMetrics metrics;
+  private final HeadBudget heads;
 
   GatewayListeners(
-      GatewaySettings settings, EventLoops eventLoops, DaemonState state, DaemonMetrics metrics) {
+      GatewaySettings settings,
+      EventLoops eventLoops,
+      DaemonState state,
+      DaemonMetrics metrics,
+      HeadBudget heads) {
+    this.heads = heads;
     this.settings = settings;
     this.eventLoops = eventLoops;
     this.state = state;
@@ -85,6 +92,6 @@
             ADMIN_TIMEOUT,
             ADMIN_TIMEOUT,
             ADMIN_TIMEOUT);
-    return new HttpPipeline(options, () -> metrics.recordRefusedConnection(role));
+    return new HttpPipeline(options, () -> metrics.recordRefusedConnection(role), () -> heads);
   }
 }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerConnection.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerConnection.java
@@ -211,6 +211,7 @@
     return switch (fault) {
       case BODY_TOO_LARGE ->
           Refusal.notRun(RefusalReason.BODY_TOO_LARGE, "The body is longer than the limit.");
+      case HEAD_EVICTED -> RequestValidator.noRoomForHead();
       default ->
           Refusal.notRun(RefusalReason.CALLER_TOO_SLOW, "The request did not arrive in time.");
     };
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerFrontend.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerFrontend.java
@@ -26,6 +26,7 @@
 import org.galenapost.daemon.lifecycle.DaemonState;
 import org.galenapost.daemon.lifecycle.PendingWork;
 import org.galenapost.daemon.log.EventLog;
+import org.galenapost.daemon.net.HeadBudget;
 
 /** Sets up connections of callers and tracks the open ones. Must be used on one event loop. */
 public final class CallerFrontend implements PipelineSetup {
@@ -47,6 +48,7 @@
   private final DaemonState state;
   private final PendingWork calls;
   private final StreamTakeUp takeUps;
+  private final HeadBudget heads;
   private final BodyBudget bodies = BodyBudget.ofHeap(Runtime.getRuntime().maxMemory());
   private final Set<CallerConnection> connections = new HashSet<>();
 
@@ -58,13 +60,16 @@
    * @param routes the route table in force
    * @param state the daemon's phase
    * @param calls tracks the calls in progress
+   * @param heads the room of the heads of all messages
    */
   public CallerFrontend(
       GatewayContext context,
       RequestValidator validator,
       Supplier<Optional<RouteTable>> routes,
       DaemonState state,
-      PendingWork calls) {
+      PendingWork calls,
+      HeadBudget heads) {
+    this.heads = heads;
     this.context = context;
     this.validator = validator;
     this.routes = routes;
@@ -85,7 +90,7 @@
             idleTimeout,
             idleTimeout,
             SLOW_READER_TIMEOUT);
-    new HttpPipeline(options, () -> {}).setUp(pipeline);
+    new HttpPipeline(options, () -> {}, () -> heads).setUp(pipeline);
     HeadTimer.addTo(pipeline, HttpPipeline.CODEC_NAME, Duration.ofMillis(limits.headerTimeoutMs()));
     pipeline.addBefore(
         HttpPipeline.AGGREGATOR_NAME,
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/RequestValidator.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/RequestValidator.java
@@ -28,6 +28,7 @@
 import org.galenapost.daemon.gateway.call.HandoverTickets;
 import org.galenapost.daemon.gateway.run.AcceptedCall;
 import org.galenapost.daemon.lifecycle.DaemonState;
+import org.galenapost.daemon.net.NoRoomForHeadException;
 
 /** Validates a request against HTTP, the configuration in force and the phase of the daemon. */
 public final class RequestValidator {
@@ -37,6 +38,9 @@
   /** Time for some of the calls to end whose bodies are held. */
   private static final Duration BODY_RETRY_AFTER = Duration.ofSeconds(1);
 
+  /** Time for some of the calls to end whose heads are held. */
+  private static final Duration HEAD_RETRY_AFTER = Duration.ofSeconds(1);
+
   private static final String UNKNOWN_ID = "-";
 
   /** A double holds 53 bits of a hash exactly. */
@@ -131,7 +135,17 @@
     return Either.right(request);
   }
 
+  /** Refuses a request whose head gets no room beside those of others. */
+  static Refusal noRoomForHead() {
+    return Refusal.notRun(
+            RefusalReason.HEAD_MEMORY_FULL, "Requests in progress leave no room for the head.")
+        .withRetryAfter(HEAD_RETRY_AFTER);
+  }
+
   private static Refusal malformed(Throwable cause) {
+    if (cause instanceof NoRoomForHeadException) {
+      return noRoomForHead();
+    }
     if (cause instanceof NoRoomForBodyException) {
       return Refusal.notRun(
               RefusalReason.BODY_MEMORY_FULL, "Requests in progress leave no room for the body.")
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
@@ -26,6 +26,8 @@
 import org.galenapost.daemon.gateway.call.CallFormat;
 import org.galenapost.daemon.net.BrokenConnectionGuard;
 import org.galenapost.daemon.net.ClientSockets;
+import org.galenapost.daemon.net.HeadAccount;
+import org.galenapost.daemon.net.HeadBudget;
 import org.galenapost.daemon.net.KeepAliveProbes;
 import org.galenapost.daemon.net.StrictClientCodec;
 import org.galenapost.daemon.service.Service;
@@ -46,15 +48,11 @@
   private static final Duration MAX_IDLE_WITHOUT_RETRY = Duration.ofMillis(500);
 
   private static final int MAX_HEADER_BYTES = 64 * 1024;
-  private static final HttpDecoderConfig DECODER =
-      new HttpDecoderConfig()
-          .setMaxInitialLineLength(MAX_HEADER_BYTES)
-          .setMaxHeaderSize(MAX_HEADER_BYTES);
-
   private final EventLoop loop;
   private final CallFormat format;
   private final MonotonicClock clock;
   private final ServerAddresses addresses;
+  private final HeadBudget heads;
   private final Bootstrap bootstrap;
   private final Map<InstanceKey, Deque<ServerConnection>> idleConnections = new HashMap<>();
   private final StutteringServers stutteringServers;
@@ -68,13 +66,16 @@
    * @param clock measures idle times
    * @param connectTimeout the longest time to open a connection
    * @param addresses the address of each server
+   * @param heads the room of the heads of all messages
    */
   public ServerConnectionPool(
       EventLoop loop,
       CallFormat format,
       MonotonicClock clock,
       Duration connectTimeout,
-      ServerAddresses addresses) {
+      ServerAddresses addresses,
+      HeadBudget heads) {
+    this.heads = heads;
     this.loop = loop;
     this.format = format;
     this.clock = clock;
@@ -164,11 +165,12 @@
   }
 
   private static ChannelInitializer<Channel> initializer(
-      StrictClientCodec codec, ServerConnection connection) {
+      StrictClientCodec codec, HeadAccount account, ServerConnection connection) {
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(Channel channel) {
         connection.attach(channel);
+        channel.closeFuture().addListener(closed -> account.close());
         channel.pipeline().addLast(codec, connection);
         BrokenConnectionGuard.addTo(channel);
       }
@@ -183,7 +185,14 @@
     }
   }
 
-  private void returnToPool(ServerConnection connection) {
+  private static HttpDecoderConfig decoderConfig() {
+    return new HttpDecoderConfig()
+        .setMaxInitialLineLength(MAX_HEADER_BYTES)
+        .setMaxHeaderSize(MAX_HEADER_BYTES);
+  }
+
+  private void returnToPool(ServerConnection connection, HeadAccount account) {
+    account.releaseAll();
     if (stutteringServers.contains(connection.instance())) {
       connection.close();
       return;
@@ -254,17 +263,22 @@
 
     private void connect() {
       openedConnectionCount++;
-      StrictClientCodec codec = new StrictClientCodec(DECODER);
+      HeadAccount account =
+          new HeadAccount(heads, () -> connecting.ifPresent(channel -> closeLater(channel)));
+      StrictClientCodec codec = new StrictClientCodec(decoderConfig(), account);
       ServerConnection opened =
           new ServerConnection(
               openedConnectionCount,
               instance.key(),
               format,
               codec,
-              ServerConnectionPool.this::returnToPool,
+              connection -> returnToPool(connection, account),
               ServerConnectionPool.this::stopKeepingConnections);
       ChannelFuture connected =
-          bootstrap.clone().handler(initializer(codec, opened)).connect(addresses.of(instance));
+          bootstrap
+              .clone()
+              .handler(initializer(codec, account, opened))
+              .connect(addresses.of(instance));
       connection = Optional.of(opened);
       connecting = Optional.of(connected.channel());
       // Sends in a task of its own, so that a caller's close that is read in the same pass of the
@@ -272,6 +286,10 @@
       connected.addListener((ChannelFuture done) -> loop.execute(() -> onConnected(done, opened)));
     }
 
+    private void closeLater(Channel channel) {
+      loop.execute(channel::close);
+    }
+
     private void onConnected(ChannelFuture connected, ServerConnection opened) {
       if (isCancelled) {
         ReferenceCountUtil.release(request);
--- a/daemon/src/main/java/org/galenapost/daemon/http/ConnectionFault.java
+++ b/daemon/src/main/java/org/galenapost/daemon/http/ConnectionFault.java
@@ -4,6 +4,8 @@
 public enum ConnectionFault {
   /** The request head did not arrive within the timeout. */
   HEAD_TOO_SLOW,
+  /** The heads of later requests took the room of the incomplete request. */
+  HEAD_EVICTED,
   /** The request body did not arrive within the timeout. */
   BODY_TOO_SLOW,
   /** The request body is longer than the limit. */
--- a/daemon/src/main/java/org/galenapost/daemon/http/HttpPipeline.java
+++ b/daemon/src/main/java/org/galenapost/daemon/http/HttpPipeline.java
@@ -2,6 +2,9 @@
 
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.util.function.Supplier;
+import org.galenapost.daemon.net.HeadAccount;
+import org.galenapost.daemon.net.HeadBudget;
 
 /** Adds the handlers that are common to all HTTP connections. */
 public final class HttpPipeline implements PipelineSetup {
@@ -14,6 +17,7 @@
 
   private final ListenerOptions options;
   private final ConnectionLimiter limiter;
+  private final Supplier<HeadBudget> heads;
 
   /**
    * Creates the pipeline set-up of one listener.
@@ -22,7 +26,20 @@
    * @param onConnectionRefused called for each connection that is closed because of the limit
    */
   public HttpPipeline(ListenerOptions options, Runnable onConnectionRefused) {
+    this(options, onConnectionRefused, HeadBudget::unbounded);
+  }
+
+  /**
+   * Creates the pipeline set-up of one listener whose heads share a budget with others.
+   *
+   * @param options the limits of the listener
+   * @param onConnectionRefused called for each connection that is closed because of the limit
+   * @param heads returns the room of the heads of a connection, which is used on its event loop
+   */
+  public HttpPipeline(
+      ListenerOptions options, Runnable onConnectionRefused, Supplier<HeadBudget> heads) {
     this.options = options;
+    this.heads = heads;
     this.limiter = new ConnectionLimiter(options.maxConnections(), onConnectionRefused);
   }
 
@@ -33,12 +50,24 @@
 
   @Override
   public void setUp(ChannelPipeline pipeline) {
-    pipeline.addLast(CODEC_NAME, new StrictServerCodec(decoderConfig()));
+    pipeline.addLast(CODEC_NAME, new StrictServerCodec(decoderConfig(), account(pipeline)));
     pipeline.addLast("undelimited-answer-guard", new UndelimitedAnswerGuard());
     pipeline.addLast("slow-caller-guard", new SlowCallerGuard(options));
     pipeline.addLast(AGGREGATOR_NAME, new RequestAggregator(options.maxBodyBytes()));
   }
 
+  private HeadAccount account(ChannelPipeline pipeline) {
+    HeadAccount account = new HeadAccount(heads.get(), () -> close(pipeline));
+    pipeline.channel().closeFuture().addListener(closed -> account.close());
+    return account;
+  }
+
+  /** Closes a connection after handlers that can answer have done so. */
+  private static void close(ChannelPipeline pipeline) {
+    pipeline.fireUserEventTriggered(ConnectionFault.HEAD_EVICTED);
+    pipeline.channel().eventLoop().execute(pipeline.channel()::close);
+  }
+
   private HttpDecoderConfig decoderConfig() {
     return new HttpDecoderConfig()
         .setMaxInitialLineLength(options.maxHeaderBytes())
--- a/daemon/src/main/java/org/galenapost/daemon/http/StrictServerCodec.java
+++ b/daemon/src/main/java/org/galenapost/daemon/http/StrictServerCodec.java
@@ -11,22 +11,28 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Queue;
+import org.galenapost.daemon.net.HeadAccount;
 
 /**
  * Decodes requests and encodes responses like {@code HttpServerCodec}, but rejects a request with
  * both {@code Content-Length} and chunked transfer encoding as malformed. Two parsers may disagree
- * on where such a request ends, which allows request smuggling.
+ * on where such a request ends, which allows request smuggling. The memory of each request's head
+ * is charged to an account from its first byte until its response is encoded.
  */
 final class StrictServerCodec
     extends CombinedChannelDuplexHandler<HttpRequestDecoder, HttpResponseEncoder> {
 
   private final Queue<HttpMethod> unansweredMethods = new ArrayDeque<>();
 
-  StrictServerCodec(HttpDecoderConfig config) {
-    init(new Decoder(config), new Encoder());
+  private final HeadAccount heads;
+
+  StrictServerCodec(HttpDecoderConfig config, HeadAccount heads) {
+    this.heads = heads;
+    init(new Decoder(heads.addTo(config)), new Encoder());
   }
 
   private final class Decoder extends HttpRequestDecoder {
@@ -39,12 +45,19 @@
     protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
         throws Exception {
       int sizeBefore = out.size();
+      if (buffer.isReadable()) {
+        heads.beginMessage();
+      }
       super.decode(context, buffer, out);
       for (Object message : out.subList(sizeBefore, out.size())) {
         if (message instanceof HttpRequest request) {
           unansweredMethods.add(request.method());
         }
+        if (message instanceof LastHttpContent) {
+          heads.completeMessage();
+        }
       }
+      heads.setUndecodedBytes(buffer.readableBytes());
     }
 
     @Override
@@ -56,6 +69,18 @@
 
   private final class Encoder extends HttpResponseEncoder {
 
+    @Override
+    protected void encode(ChannelHandlerContext context, Object message, List<Object> out)
+        throws Exception {
+      boolean isInterim =
+          message instanceof HttpResponse response
+              && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+      super.encode(context, message, out);
+      if (message instanceof LastHttpContent && !isInterim) {
+        heads.endCall();
+      }
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpResponse response) {
       if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
--- a/daemon/src/main/java/org/galenapost/daemon/net/StrictClientCodec.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/StrictClientCodec.java
@@ -37,10 +37,17 @@
   private HttpMethod requestMethod;
   private boolean isResponseAwaited;
   private int informationalResponses;
+  private final HeadAccount heads;
+
+  /** Creates the codec of one connection, whose heads are charged to an account. */
+  public StrictClientCodec(HttpDecoderConfig config, HeadAccount heads) {
+    this.heads = heads;
+    init(new Decoder(heads.addTo(config)), new Encoder());
+  }
 
   /** Creates the codec of one connection, with the limits of the heads of responses. */
   public StrictClientCodec(HttpDecoderConfig config) {
-    init(new Decoder(config), new Encoder());
+    this(config, new HeadAccount(HeadBudget.unbounded(), () -> {}));
   }
 
   /**
@@ -62,6 +69,7 @@
   final class Decoder extends HttpResponseDecoder {
 
     private boolean isInformational;
+    private boolean isHeadComplete;
 
     Decoder(HttpDecoderConfig config) {
       super(config);
@@ -75,18 +83,28 @@
         return;
       }
       int sizeBefore = out.size();
+      if (!isHeadComplete && buffer.isReadable()) {
+        heads.beginMessage();
+      }
       super.decode(context, buffer, out);
       out.subList(sizeBefore, out.size()).forEach(this::onDecoded);
+      heads.setUndecodedBytes(buffer.readableBytes());
     }
 
     private void onDecoded(Object message) {
       if (message instanceof HttpResponse response) {
         isInformational = isInformational(response);
+        isHeadComplete = true;
+        heads.completeMessage();
         informationalResponses += isInformational ? 1 : 0;
         faultOf(response)
             .filter(fault -> response.decoderResult().isSuccess())
             .ifPresent(fault -> response.setDecoderResult(failure(fault)));
       }
+      if (message instanceof LastHttpContent) {
+        isHeadComplete = false;
+        heads.completeMessage();
+      }
       if (message instanceof LastHttpContent && !isInformational) {
         isResponseAwaited = false;
       }
--- a/daemon/src/main/java/org/galenapost/daemon/peer/HandshakeHandler.java
+++ b/daemon/src/main/java/org/galenapost/daemon/peer/HandshakeHandler.java
@@ -72,6 +72,7 @@
     timeout.cancel(false);
     context.pipeline().remove(this);
     onAuthenticated.accept(peerChallenge);
+    PeerPipeline.admitAllFrames(context.pipeline());
   }
 
   private void reject(ChannelHandlerContext context, String reason) {
--- a/daemon/src/main/java/org/galenapost/daemon/peer/PeerPipeline.java
+++ b/daemon/src/main/java/org/galenapost/daemon/peer/PeerPipeline.java
@@ -18,6 +18,11 @@
   private static final EventLog LOG = EventLog.of(PeerPipeline.class);
   private static final int LENGTH_FIELD_BYTES = 4;
   private static final int MAX_FRAME_BYTES = 8 * 1024 * 1024;
+
+  /** Holds a challenge or a proof. A peer without the secret could fill the memory with more. */
+  private static final int MAX_HANDSHAKE_FRAME_BYTES = 4 * 1024;
+
+  private static final String FRAMES_NAME = "frames";
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(90);
 
   private PeerPipeline() {}
@@ -28,9 +33,7 @@
       HandshakeHandler handshake,
       Receiver receiver) {
     pipeline.addLast(traffic);
-    pipeline.addLast(
-        new LengthFieldBasedFrameDecoder(
-            MAX_FRAME_BYTES, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES));
+    pipeline.addLast(FRAMES_NAME, frameDecoder(MAX_HANDSHAKE_FRAME_BYTES));
     pipeline.addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES));
     pipeline.addLast(new PeerCodec());
     pipeline.addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS));
@@ -38,6 +41,18 @@
     pipeline.addLast(new ReceivingHandler(receiver));
   }
 
+  /** Admits frames of all messages, once the peer is authenticated. */
+  static void admitAllFrames(ChannelPipeline pipeline) {
+    if (pipeline.get(FRAMES_NAME) != null) {
+      pipeline.replace(FRAMES_NAME, FRAMES_NAME, frameDecoder(MAX_FRAME_BYTES));
+    }
+  }
+
+  private static LengthFieldBasedFrameDecoder frameDecoder(int maxFrameBytes) {
+    return new LengthFieldBasedFrameDecoder(
+        maxFrameBytes, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES);
+  }
+
   /** Receives the messages of a connection whose peer is authenticated. */
   @FunctionalInterface
   interface Receiver {
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPoolTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPoolTest.java
@@ -14,6 +14,7 @@
 import java.time.Duration;
 import org.galenapost.core.instance.ServerInstance;
 import org.galenapost.daemon.net.EventLoops;
+import org.galenapost.daemon.net.HeadBudget;
 import org.galenapost.daemon.net.StutteringServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -33,7 +34,8 @@
           new TestCallFormat(),
           () -> System.nanoTime() + passed.toNanos(),
           CONNECT_TIMEOUT,
-          ServerAddresses.announced());
+          ServerAddresses.announced(),
+          HeadBudget.unbounded());
   private StutteringServer server;
 
   @BeforeEach
