--- a/core/src/main/java/org/galenapost/core/dispatch/InstanceChooser.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/InstanceChooser.java
@@ -15,25 +15,11 @@
 
 /**
  * Chooses the server with the shortest expected wait. The estimate depends on the prompt tokens
- * that are not yet processed, the calls in flight, the free memory and recent failures. Not safe
- * for use by several threads.
+ * that are not yet processed, the measured speed, the calls in flight, the free memory and recent
+ * failures. Not safe for use by several threads.
  */
 public final class InstanceChooser {
 
-  /** Prompt processing speed of an engine, from the engine data sheet. */
-  private static final double PROMPT_TOKENS_PER_MS = 8;
-
-  /** The increase in time to first event for each running call, from the engine data sheet. */
-  private static final double RUNNING_CALL_PENALTY_MS = 10;
-
-  /**
-   * The share of an engine's memory that placement fills. The rest is reserved for longer answers.
-   */
-  private static final double MAX_MEMORY_SHARE = 0.9;
-
-  /** The expected wait at a full engine, about the duration of one run. */
-  private static final double FULL_ENGINE_WAIT_MS = 5_000;
-
   /**
    * How much larger the share of taken slots of a local plain server may be while it is still
    * preferred to one in another data centre.
@@ -52,6 +38,12 @@
   private static final double AVOIDED_SERVER_PENALTY_MS = 100_000;
   private static final double TIE_BREAK_JITTER_MS = 2;
 
+  /**
+   * The difference of waits that engines count as equal: a quarter of the time in which a usual
+   * prompt is read.
+   */
+  private static final double NEAR_EQUAL_ENGINES_MS = 250;
+
   /** The time over which callers return after a pause; a few calls of a plain service. */
   private static final double RETURN_SPREAD_MS = 300;
 
@@ -68,7 +60,10 @@
   private final InstanceHealth health;
   private final RequestedPauses pauses;
   private final Predicate<InstanceKey> isBrittle;
+  private final ServerSpeeds speeds;
   private final RandomSource random;
+  private final NearEqualPick nearEqualPick;
+  private final StartRamp startRamp;
 
   /**
    * Creates a chooser.
@@ -77,29 +72,26 @@
    * @param directory the known servers
    * @param isOwnCell whether a server is in the cell of this daemon, so that this daemon receives
    *     the use reports of other daemons about it
-   * @param useTracker the current use of each server
-   * @param health the recent failures of each server
-   * @param pauses the pauses that servers asked for
-   * @param isBrittle whether a server must not be sent a call that it has no room for
+   * @param observations what is known of servers beyond their announcements
    * @param random breaks ties
    */
   public InstanceChooser(
       String dataCentre,
       InstanceDirectory directory,
       Predicate<ServerInstance> isOwnCell,
-      ServerUseTracker useTracker,
-      InstanceHealth health,
-      RequestedPauses pauses,
-      Predicate<InstanceKey> isBrittle,
+      ServerObservations observations,
       RandomSource random) {
     this.dataCentre = dataCentre;
     this.directory = directory;
     this.isOwnCell = isOwnCell;
-    this.useTracker = useTracker;
-    this.health = health;
-    this.pauses = pauses;
-    this.isBrittle = isBrittle;
+    this.useTracker = observations.useTracker();
+    this.speeds = observations.speeds();
+    this.health = observations.health();
+    this.pauses = observations.pauses();
+    this.isBrittle = observations.isBrittle();
     this.random = random;
+    this.nearEqualPick = new NearEqualPick(random);
+    this.startRamp = new StartRamp(directory::sinceAppeared, random);
   }
 
   /**
@@ -153,7 +145,7 @@
             demand,
             instance ->
                 constraint.allows(instance) && !instance.dataCentre().equals(runner.dataCentre()))
-        .filter(choice -> choice.expectedWaitMs() < FULL_ENGINE_WAIT_MS)
+        .filter(choice -> choice.expectedWaitMs() < EngineWait.FULL_ENGINE_WAIT_MS)
         .map(Choice::instance);
   }
 
@@ -190,8 +182,16 @@
 
   private Optional<Choice> shortestWait(
       TargetService service, List<ServerInstance> instances, CallDemand demand) {
-    return instances.stream()
-        .map(instance -> new Choice(instance, expectedWaitMs(service, instance, demand)))
+    boolean isEngine = service.engineMemory().isPresent();
+    List<ServerInstance> candidates = isEngine ? startRamp.admitted(instances) : instances;
+    List<Choice> choices =
+        candidates.stream()
+            .map(instance -> new Choice(instance, expectedWaitMs(service, instance, demand)))
+            .toList();
+    if (isEngine) {
+      return nearEqualPick.pick(choices, NEAR_EQUAL_ENGINES_MS);
+    }
+    return choices.stream()
         .min(
             Comparator.comparingDouble(
                 choice -> choice.expectedWaitMs() + TIE_BREAK_JITTER_MS * random.nextDouble()));
@@ -203,7 +203,7 @@
     double waitMs =
         service
             .engineMemory()
-            .map(memory -> engineWaitMs(memory.tokens(), use, demand))
+            .map(memory -> engineWaitMs(memory.tokens(), instance, use, demand))
             .orElseGet(() -> slotWaitMs(instance, use, isOwnDataCentre));
     if (!isOwnDataCentre) {
       waitMs += OTHER_DATA_CENTRE_PENALTY_MS;
@@ -219,15 +219,9 @@
     return waitMs + FAILURE_SHARE_PENALTY_MS * excessFailureShare;
   }
 
-  private static double engineWaitMs(long memoryTokens, ServerUse use, CallDemand demand) {
-    double waitMs =
-        use.unreadTokens() / PROMPT_TOKENS_PER_MS + use.calls() * RUNNING_CALL_PENALTY_MS;
-    double excessTokens =
-        use.memoryTokens() + demand.memoryTokens() - MAX_MEMORY_SHARE * memoryTokens;
-    if (excessTokens > 0) {
-      waitMs += FULL_ENGINE_WAIT_MS * (1 + excessTokens / memoryTokens);
-    }
-    return waitMs;
+  private double engineWaitMs(
+      long memoryTokens, ServerInstance instance, ServerUse use, CallDemand demand) {
+    return EngineWait.waitMs(memoryTokens, speeds.tokensPerMs(instance.key()), use, demand);
   }
 
   private static double slotWaitMs(
@@ -241,7 +235,8 @@
    * A chosen server.
    *
    * @param instance the server
-   * @param expectedWaitMs the expected wait of the call, in milliseconds
+   * @param expectedWaitMs the expected wait of the call beyond the time in which an engine of
+   *     nominal speed reads its prompt, in milliseconds; below 0 at a fast idle engine
    */
   public record Choice(ServerInstance instance, double expectedWaitMs) {}
 }
--- a/core/src/main/java/org/galenapost/core/instance/InstanceDirectory.java
+++ b/core/src/main/java/org/galenapost/core/instance/InstanceDirectory.java
@@ -119,7 +119,7 @@
     if (isOutdated && !known.isLapsed) {
       return;
     }
-    Entry entry = new Entry(instance, era);
+    Entry entry = new Entry(instance, era, appearedNanos(instance.key(), known));
     if (isOutdated && !known.mayReturn) {
       entry.isDoubtful = true;
       entry.doubtfulSinceNanos = clock.nanos();
@@ -137,6 +137,11 @@
     }
   }
 
+  private long appearedNanos(InstanceKey key, Entry known) {
+    boolean isSameInstance = known != null && known.instance.key().equals(key);
+    return isSameInstance ? known.appearedNanos : clock.nanos();
+  }
+
   private static boolean isNotNewer(ServerInstance instance, ServerInstance known) {
     if (instance.startedAtEpochMs() != known.startedAtEpochMs()) {
       return instance.startedAtEpochMs() < known.startedAtEpochMs();
@@ -286,6 +291,14 @@
     return Optional.ofNullable(entries.get(id)).map(entry -> entry.instance);
   }
 
+  /** Returns for how long an instance has been known; 0 for one that is not known. */
+  public Duration sinceAppeared(InstanceKey key) {
+    Entry entry = entries.get(key.id());
+    return entry != null && entry.instance.key().equals(key)
+        ? clock.since(entry.appearedNanos)
+        : Duration.ZERO;
+  }
+
   /** Removes lapsed instances that may no longer receive calls. */
   public void removeExpired() {
     List<Entry> expired =
@@ -330,15 +343,17 @@
 
     private final ServerInstance instance;
     private final long era;
+    private final long appearedNanos;
     private boolean isDoubtful;
     private long doubtfulSinceNanos;
     private boolean isLapsed;
     private boolean mayReturn;
     private long lapsedAtNanos;
 
-    Entry(ServerInstance instance, long era) {
+    Entry(ServerInstance instance, long era, long appearedNanos) {
       this.instance = instance;
       this.era = era;
+      this.appearedNanos = appearedNanos;
     }
   }
 }
--- a/core/src/test/java/org/galenapost/core/dispatch/InstanceChooserTest.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/InstanceChooserTest.java
@@ -36,16 +36,14 @@
   private final InstanceHealth health = new InstanceHealth(time);
   private final RequestedPauses pauses = new RequestedPauses(time);
   private final Set<InstanceKey> brittle = new HashSet<>();
+  private final ServerSpeeds speeds = new ServerSpeeds(new SilentBus(), time, time);
   private final InstanceDirectory directory = newDirectory();
   private final InstanceChooser chooser =
       new InstanceChooser(
           "dc1",
           directory,
           server -> ownCell.test(server),
-          useTracker,
-          health,
-          pauses,
-          brittle::contains,
+          new ServerObservations(useTracker, speeds, health, pauses, brittle::contains),
           () -> 0.5);
   private long revision;
 
@@ -58,6 +56,22 @@
     assertThat(choose(ENGINES, DEMAND)).contains(idle);
   }
 
+  /** Guards against a slow engine that gets as many prompts as the others. */
+  @Test
+  void sendsPromptsToFastEnginesFirst() {
+    ServerInstance slow = add("e1", "pool", "dc1");
+    ServerInstance fast = add("e2", "pool", "dc1");
+    for (int run = 0; run < 5; run++) {
+      speeds.onFirstEvent(slow.key(), ServerUse.NONE, 8_200, Duration.ofMillis(1_864));
+      speeds.onFirstEvent(fast.key(), ServerUse.NONE, 8_200, Duration.ofMillis(854));
+    }
+    useTracker.reserve(fast.key(), new ServerUse(1, 2_000, 2_700));
+    assertThat(choose(ENGINES, DEMAND)).contains(fast);
+
+    useTracker.reserve(fast.key(), new ServerUse(1, 8_000, 8_700));
+    assertThat(choose(ENGINES, DEMAND)).contains(slow);
+  }
+
   @Test
   void avoidsEnginesWhoseMemoryIsFull() {
     ServerInstance full = add("e1", "pool", "dc1");
--- /dev/null
+++ b/core/src/test/java/org/galenapost/core/dispatch/PlacementLoadTest.java
@@ -0,0 +1,82 @@
+package org.galenapost.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Collections;
+import java.util.List;
+import org.galenapost.core.instance.InstanceKey;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Plays the load of a cell and compares what callers get with the decision before speeds were
+ * measured.
+ */
+class PlacementLoadTest {
+
+  /** A data centre's speeds in turn, as at the deployment whose servers differ. */
+  private static final List<Double> MIXED =
+      Collections.nCopies(3, List.of(0.55, 1.2, 1.2, 1.2)).stream().flatMap(List::stream).toList();
+
+  private static final List<Double> EQUAL = Collections.nCopies(12, 1.0);
+
+  /**
+   * Guards against slow engines that hold up as many callers as fast ones get. 4 calls a second are
+   * the streams of a cell of 12 daemons among 65; 9 are those in a burst of 2.5.
+   */
+  @ParameterizedTest
+  @ValueSource(doubles = {4, 9})
+  void shortensWaitsWhereEnginesDifferInSpeed(double callsPerS) {
+    PlacementModel before = play(false, MIXED, callsPerS);
+    PlacementModel now = play(true, MIXED, callsPerS);
+
+    assertThat(now.meanMs()).isLessThan(before.meanMs());
+    assertThat(now.p95Ms()).isLessThan(before.p95Ms());
+  }
+
+  /** Guards against a loss where there is nothing to gain. */
+  @ParameterizedTest
+  @ValueSource(doubles = {4, 9})
+  void changesLittleWhereEnginesAreEqual(double callsPerS) {
+    PlacementModel before = play(false, EQUAL, callsPerS);
+    PlacementModel now = play(true, EQUAL, callsPerS);
+
+    assertThat(now.meanMs()).isLessThan(1.05 * before.meanMs());
+    assertThat(now.p95Ms()).isLessThan(1.05 * before.p95Ms());
+  }
+
+  /**
+   * Guards against daemons that all see an engine that has just started as idle and send to it
+   * together. Each of five engines starts while every daemon has a call to place, as after a crash.
+   */
+  @Test
+  void spreadsCallsThatArriveWithinTheDelayOfUses() {
+    int before = callsAtStartedEngines(false);
+    int now = callsAtStartedEngines(true);
+
+    assertThat(before).as("all twelve daemons choose each of them").isEqualTo(60);
+    assertThat(now).isBetween(1, 20);
+  }
+
+  private static int callsAtStartedEngines(boolean isPresentDecision) {
+    PlacementModel model = new PlacementModel(isPresentDecision, EQUAL);
+    int calls = 0;
+    for (int index = 0; index < 5; index++) {
+      model.play(9, Duration.ofSeconds(20));
+      InstanceKey started = model.addEngine("started" + index, 1);
+      model.playAtOnce();
+      calls += model.callsAt(started);
+    }
+    return calls;
+  }
+
+  private static PlacementModel play(boolean isPresent, List<Double> speeds, double callsPerS) {
+    PlacementModel model = new PlacementModel(isPresent, speeds);
+    model.play(callsPerS, Duration.ofSeconds(20));
+    model.forgetWaits();
+    model.play(callsPerS, Duration.ofSeconds(300));
+    return model;
+  }
+}
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -289,6 +289,7 @@
         directory,
         servers.chooser(),
         servers.useTracker(),
+        servers.speeds(),
         servers.health(),
         servers.pauses(),
         servers.limits(),
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/InstanceCleaner.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/InstanceCleaner.java
@@ -9,7 +9,6 @@
 import org.galenapost.core.dispatch.ServerLimits;
 import org.galenapost.core.instance.InstanceDirectory;
 import org.galenapost.core.time.Scheduler;
-import org.galenapost.daemon.gateway.run.InstancePaces;
 import org.galenapost.daemon.service.Service;
 
 /** Periodically discards the state of servers that are gone, so that memory stays bounded. */
@@ -24,7 +23,7 @@
   private final ServerLimits limits;
   private final BrittleServers brittleServers;
   private final SendPermits permits;
-  private final InstancePaces paces;
+  private final Runnable cleanMeasurements;
   private final Scheduler scheduler;
   private volatile boolean isRunning;
 
@@ -36,7 +35,7 @@
       ServerLimits limits,
       BrittleServers brittleServers,
       SendPermits permits,
-      InstancePaces paces,
+      Runnable cleanMeasurements,
       Scheduler scheduler) {
     this.directory = directory;
     this.health = health;
@@ -45,7 +44,7 @@
     this.limits = limits;
     this.brittleServers = brittleServers;
     this.permits = permits;
-    this.paces = paces;
+    this.cleanMeasurements = cleanMeasurements;
     this.scheduler = scheduler;
   }
 
@@ -76,7 +75,7 @@
     limits.retainOnly(directory.keys());
     brittleServers.retainOnly(directory.keys());
     permits.retainOnly(directory.keys());
-    paces.retainOnly(directory.keys());
+    cleanMeasurements.run();
     scheduler.schedule(CLEANUP_PERIOD, this::clean);
   }
 }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/ServerStateWiring.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/ServerStateWiring.java
@@ -1,6 +1,7 @@
 package org.galenapost.daemon.gateway;
 
 import java.util.List;
+import java.util.Set;
 import org.galenapost.core.cell.CellBus;
 import org.galenapost.core.cell.FleetCells;
 import org.galenapost.core.dispatch.BrittleServers;
@@ -11,8 +12,11 @@
 import org.galenapost.core.dispatch.RetiredInstancesExchange;
 import org.galenapost.core.dispatch.SendPermits;
 import org.galenapost.core.dispatch.ServerLimits;
+import org.galenapost.core.dispatch.ServerObservations;
+import org.galenapost.core.dispatch.ServerSpeeds;
 import org.galenapost.core.dispatch.ServerUseTracker;
 import org.galenapost.core.instance.InstanceDirectory;
+import org.galenapost.core.instance.InstanceKey;
 import org.galenapost.core.peer.PeerBus;
 import org.galenapost.core.time.MonotonicClock;
 import org.galenapost.core.time.RandomSource;
@@ -37,6 +41,7 @@
   private final SendPermits permits;
   private final BrittleServers brittleServers;
   private final RetiredInstancesExchange retiredExchange;
+  private final ServerSpeeds speeds;
   private final InstanceChooser chooser;
 
   ServerStateWiring(
@@ -58,15 +63,13 @@
     this.permits = new SendPermits(daemon.id(), bus, scheduler, clock, limits, pauses);
     this.brittleServers = new BrittleServers(bus, clock, pauses, GatewayLog.brittleServers());
     this.retiredExchange = new RetiredInstancesExchange(directory, bus, scheduler, random);
+    this.speeds = new ServerSpeeds(cellBus, clock, scheduler);
     this.chooser =
         new InstanceChooser(
             daemon.dataCentre(),
             directory,
             cells::contains,
-            useTracker,
-            health,
-            pauses,
-            brittleServers::isBrittle,
+            new ServerObservations(useTracker, speeds, health, pauses, brittleServers::isBrittle),
             random);
   }
 
@@ -78,6 +81,7 @@
         Service.of("brittle-servers", brittleServers::start, () -> {}),
         Service.of("instance-news", statusBroadcaster::start, () -> {}),
         Service.of("retired-servers", retiredExchange::start, retiredExchange::stop),
+        Service.of("server-speeds", speeds::start, speeds::stop),
         new UseReportExchange(useTracker, cellBus, scheduler),
         new InstanceCleaner(
             directory,
@@ -87,21 +91,32 @@
             limits,
             brittleServers,
             permits,
-            paces,
+            () -> retainServers(directory.keys()),
             scheduler));
   }
 
+  private void retainServers(Set<InstanceKey> servers) {
+    paces.retainOnly(servers);
+    speeds.retainOnly(servers);
+  }
+
   void addGauges(DaemonMetrics metrics) {
     metrics.registerGauge("galenapost.gateway.servers.limited", limits::count);
     metrics.registerGauge("galenapost.gateway.permits.granted", permits::grantedCount);
     metrics.registerGauge("galenapost.gateway.permits.denied", permits::deniedCount);
     metrics.registerGauge("galenapost.gateway.servers.brittle", brittleServers::count);
+    metrics.registerGauge("galenapost.gateway.speed.samples", speeds::sampleCount);
+    metrics.registerGauge("galenapost.gateway.speed.lowest.tokens.per.s", speeds::lowestTokensPerS);
   }
 
   ServerUseTracker useTracker() {
     return useTracker;
   }
 
+  ServerSpeeds speeds() {
+    return speeds;
+  }
+
   InstancePaces paces() {
     return paces;
   }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/Attempt.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/Attempt.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.galenapost.core.dispatch.ServerUseTracker;
 import org.galenapost.core.instance.ServerInstance;
 import org.galenapost.core.loss.LossReason;
@@ -26,6 +27,7 @@
   private final SendPlan plan;
   private final ServerUseTracker.Reservation reservation;
   private final Optional<ServerUseTracker.Reservation> copyReservation;
+  private final Consumer<Duration> onFirstEvent;
   private final long startNanos;
   private Optional<SilenceDetector> silenceDetector = Optional.empty();
   private ServerCall serverCall;
@@ -46,6 +48,7 @@
    * @param plan the servers that take part in the send
    * @param reservation the capacity reserved on the server, released when the attempt ends
    * @param copyReservation the capacity reserved on the server that holds the memory copy
+   * @param onFirstEvent receives the time from the send to the first event
    */
   Attempt(
       GatewayContext context,
@@ -53,13 +56,15 @@
       EventRelay relay,
       SendPlan plan,
       ServerUseTracker.Reservation reservation,
-      Optional<ServerUseTracker.Reservation> copyReservation) {
+      Optional<ServerUseTracker.Reservation> copyReservation,
+      Consumer<Duration> onFirstEvent) {
     this.context = context;
     this.listener = listener;
     this.relay = relay;
     this.plan = plan;
     this.reservation = reservation;
     this.copyReservation = copyReservation;
+    this.onFirstEvent = onFirstEvent;
     this.startNanos = context.clock().nanos();
   }
 
@@ -247,6 +252,9 @@
       return;
     }
     if (eventCount > previousCount) {
+      if (previousCount == 0) {
+        onFirstEvent.accept(elapsed());
+      }
       // Comments and parts of events are no progress: a stalled server may send them forever.
       silenceDetector.ifPresent(SilenceDetector::onProgress);
       reservation.markPromptProcessed();
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/GatewayContext.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/GatewayContext.java
@@ -10,6 +10,7 @@
 import org.galenapost.core.dispatch.SendBudget;
 import org.galenapost.core.dispatch.SendPermits;
 import org.galenapost.core.dispatch.ServerLimits;
+import org.galenapost.core.dispatch.ServerSpeeds;
 import org.galenapost.core.dispatch.ServerUseTracker;
 import org.galenapost.core.handover.HandoverPeers;
 import org.galenapost.core.handover.ServerReach;
@@ -38,6 +39,7 @@
  * @param directory the known servers
  * @param chooser chooses a server for each send
  * @param useTracker tracks the load that all daemons place on each server
+ * @param speeds the measured speed of each server
  * @param health records recent failures of servers
  * @param pauses the pauses that servers asked for
  * @param limits the limits that servers name
@@ -69,6 +71,7 @@
     InstanceDirectory directory,
     InstanceChooser chooser,
     ServerUseTracker useTracker,
+    ServerSpeeds speeds,
     InstanceHealth health,
     RequestedPauses pauses,
     ServerLimits limits,
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/Sender.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/Sender.java
@@ -119,6 +119,7 @@
   /** Reserves capacity on the servers of a plan and sends the call. */
   Attempt send(SendPlan plan, FullHttpRequest request) {
     CallDemand demand = call.head().demand();
+    ServerUse ahead = context.useTracker().total(plan.instance());
     ServerUseTracker.Reservation reservation =
         context.useTracker().reserve(plan.instance().key(), useOf(plan, demand));
     Optional<ServerUseTracker.Reservation> copyReservation =
@@ -131,7 +132,17 @@
     if (plan.isIsolated()) {
       context.requestGuard().claim(plan.instance().key().text(), call.digest());
     }
-    Attempt attempt = new Attempt(context, run, relay, plan, reservation, copyReservation);
+    long unreadTokens = useOf(plan, demand).unreadTokens();
+    Attempt attempt =
+        new Attempt(
+            context,
+            run,
+            relay,
+            plan,
+            reservation,
+            copyReservation,
+            elapsed ->
+                context.speeds().onFirstEvent(plan.instance().key(), ahead, unreadTokens, elapsed));
     run.setCurrentAttempt(attempt);
     attempt.setServerCall(context.pool().send(plan.instance(), outgoingCall, request, attempt));
     return attempt;
--- a/daemon/src/main/java/org/galenapost/daemon/peer/PeerMessageTypes.java
+++ b/daemon/src/main/java/org/galenapost/daemon/peer/PeerMessageTypes.java
@@ -22,6 +22,7 @@
 import org.galenapost.core.dispatch.RetryLoanMessage;
 import org.galenapost.core.dispatch.SendPermitMessage;
 import org.galenapost.core.dispatch.ServerLimitNotice;
+import org.galenapost.core.dispatch.ServerSpeedReport;
 import org.galenapost.core.dispatch.UseReport;
 import org.galenapost.core.drain.DrainNotice;
 import org.galenapost.core.handover.HandoverStatus;
@@ -72,6 +73,7 @@
           new NamedType(MembershipMessage.Table.class, "member-table"),
           new NamedType(HostListNotice.class, "host-list-notice"),
           new NamedType(UseReport.class, "use-report"),
+          new NamedType(ServerSpeedReport.class, "server-speed-report"),
           new NamedType(InstanceNotice.class, "instance-notice"),
           new NamedType(RetiredInstancesReport.class, "retired-instances"),
           new NamedType(ServerLimitNotice.class, "server-limit-notice"),
--- a/daemon/src/test/java/org/galenapost/daemon/peer/PeerCodecRoundTripTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/peer/PeerCodecRoundTripTest.java
@@ -19,6 +19,7 @@
 import org.galenapost.core.dispatch.BrittleServerNotice;
 import org.galenapost.core.dispatch.SendPermitMessage;
 import org.galenapost.core.dispatch.ServerLimitNotice;
+import org.galenapost.core.dispatch.ServerSpeedReport;
 import org.galenapost.core.generation.AttemptId;
 import org.galenapost.core.generation.RequestDigest;
 import org.galenapost.core.handover.HandoverStatus;
@@ -59,6 +60,7 @@
         new HandoverStatus("10.0.0.1", 80, "z1", Set.of("pool"), true),
         new ServerLimitNotice(SERVER, OptionalDouble.of(2.3)),
         new ServerLimitNotice(SERVER, OptionalDouble.empty()),
+        new ServerSpeedReport(List.of(new ServerSpeedReport.Sum(SERVER, 12_300.5, 1_537))),
         new SendPermitMessage.Request(3, SERVER, 2.3),
         new SendPermitMessage.Reply(3, false, 410),
         new StreamOriginMessage.Announcement("a1", new StreamOrigin("pool", "v1.1"), 25_000),
