--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/Attempt.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/Attempt.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.galenapost.core.dispatch.ServerUseTracker;
 import org.galenapost.core.instance.ServerInstance;
 import org.galenapost.core.loss.LossReason;
@@ -29,6 +30,7 @@
   private final ServerUseTracker.Reservation reservation;
   private final Optional<ServerUseTracker.Reservation> copyReservation;
   private final RolloutSend rolloutSend;
+  private final Consumer<Duration> onFirstEvent;
   private final long startNanos;
   private Optional<SilenceDetector> silenceDetector = Optional.empty();
   private ServerCall serverCall;
@@ -50,6 +52,7 @@
    * @param reservation the capacity reserved on the server, released when the attempt ends
    * @param copyReservation the capacity reserved on the server that holds the memory copy
    * @param rolloutSend takes the result of the send
+   * @param onFirstEvent receives the time from the send to the first event
    */
   Attempt(
       GatewayContext context,
@@ -58,7 +61,8 @@
       SendPlan plan,
       ServerUseTracker.Reservation reservation,
       Optional<ServerUseTracker.Reservation> copyReservation,
-      RolloutSend rolloutSend) {
+      RolloutSend rolloutSend,
+      Consumer<Duration> onFirstEvent) {
     this.context = context;
     this.listener = listener;
     this.relay = relay;
@@ -66,6 +70,7 @@
     this.reservation = reservation;
     this.copyReservation = copyReservation;
     this.rolloutSend = rolloutSend;
+    this.onFirstEvent = onFirstEvent;
     this.startNanos = context.clock().nanos();
   }
 
@@ -265,6 +270,9 @@
     }
     if (eventCount > previousCount) {
       rolloutSend.onFirstEvent(elapsed().toMillis());
+      if (previousCount == 0) {
+        onFirstEvent.accept(elapsed());
+      }
       // Comments and parts of events are no progress: a stalled server may send them forever.
       silenceDetector.ifPresent(SilenceDetector::onProgress);
       reservation.markPromptProcessed();
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/Sender.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/Sender.java
@@ -120,6 +120,7 @@
   /** Reserves capacity on the servers of a plan and sends the call. */
   Attempt send(SendPlan plan, FullHttpRequest request) {
     CallDemand demand = call.head().demand();
+    ServerUse ahead = context.useTracker().total(plan.instance());
     ServerUseTracker.Reservation reservation =
         context.useTracker().reserve(plan.instance().key(), useOf(plan, demand));
     Optional<ServerUseTracker.Reservation> copyReservation =
@@ -132,8 +133,18 @@
     if (plan.isIsolated()) {
       context.requestGuard().claim(plan.instance().key().text(), call.digest());
     }
+    long unreadTokens = useOf(plan, demand).unreadTokens();
     Attempt attempt =
-        new Attempt(context, run, relay, plan, reservation, copyReservation, versions.onSend(plan));
+        new Attempt(
+            context,
+            run,
+            relay,
+            plan,
+            reservation,
+            copyReservation,
+            versions.onSend(plan),
+            elapsed ->
+                context.speeds().onFirstEvent(plan.instance().key(), ahead, unreadTokens, elapsed));
     run.setCurrentAttempt(attempt);
     attempt.setServerCall(context.pool().send(plan.instance(), outgoingCall, request, attempt));
     return attempt;
