--- a/cli/src/main/java/org/galenapost/cli/Galenapost.java
+++ b/cli/src/main/java/org/galenapost/cli/Galenapost.java
@@ -16,6 +16,7 @@
 import org.galenapost.cli.command.ExplainCommand;
 import org.galenapost.cli.command.ObjectCommand;
 import org.galenapost.cli.command.OrderCommand;
+import org.galenapost.cli.command.PlacementCommand;
 import org.galenapost.cli.command.ServerCommand;
 import org.galenapost.cli.command.StatusCommand;
 import org.galenapost.core.configuration.ConfigurationKind;
@@ -47,7 +48,7 @@
     commands.put("workspace", new ObjectCommand(ConfigurationKind.WORKSPACE));
     commands.put("server", new ServerCommand());
     commands.put("model", new ObjectCommand(ConfigurationKind.MODEL));
-    commands.put("placement", new ObjectCommand(ConfigurationKind.PLACEMENT));
+    commands.put("placement", new PlacementCommand());
     commands.put("action", new ActionCommand());
     commands.put("order", new OrderCommand());
     commands.put("explain", new ExplainCommand());
--- a/core/src/main/java/org/galenapost/core/dispatch/InstanceChooser.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/InstanceChooser.java
@@ -116,10 +116,7 @@
    */
   public Optional<Choice> choose(
       TargetService service, CallDemand demand, ServerConstraint constraint) {
-    Predicate<ServerInstance> isAllowed =
-        constraint.softwareVersion().isPresent()
-            ? instance -> constraint.allows(instance) && !health.mayHaveRestarted(instance.key())
-            : constraint::allows;
+    Predicate<ServerInstance> isAllowed = instance -> isAllowed(instance, constraint);
     Optional<Choice> ready =
         chooseAmong(service, directory.ready(service.name()), demand, isAllowed);
     return ready.isPresent()
@@ -167,10 +164,9 @@
       Predicate<ServerInstance> isAllowed) {
     List<ServerInstance> allowed =
         candidates.stream()
-            .filter(isAllowed)
-            .filter(instance -> !pauses.isPaused(instance.key()))
             .filter(
-                instance -> !isBrittle.test(instance.key()) || hasRoom(service, instance, demand))
+                instance ->
+                    eligibility(service, instance, demand, isAllowed) == Eligibility.ELIGIBLE)
             .toList();
     List<ServerInstance> ownCell = allowed.stream().filter(isOwnCell).toList();
     Optional<Choice> ownChoice = shortestWait(service, ownCell, demand);
@@ -181,6 +177,36 @@
         : shortestWait(service, allowed, demand);
   }
 
+  private boolean isAllowed(ServerInstance instance, ServerConstraint constraint) {
+    return constraint.allows(instance)
+        && (constraint.softwareVersion().isEmpty() || !health.mayHaveRestarted(instance.key()));
+  }
+
+  /** Returns whether a server may be chosen for a call, or why not. */
+  Eligibility eligibility(
+      TargetService service,
+      ServerInstance instance,
+      CallDemand demand,
+      ServerConstraint constraint) {
+    return eligibility(service, instance, demand, one -> isAllowed(one, constraint));
+  }
+
+  private Eligibility eligibility(
+      TargetService service,
+      ServerInstance instance,
+      CallDemand demand,
+      Predicate<ServerInstance> isAllowed) {
+    if (!isAllowed.test(instance)) {
+      return Eligibility.NOT_ALLOWED;
+    }
+    if (pauses.isPaused(instance.key())) {
+      return Eligibility.PAUSED;
+    }
+    return isBrittle.test(instance.key()) && !hasRoom(service, instance, demand)
+        ? Eligibility.BRITTLE_WITHOUT_ROOM
+        : Eligibility.ELIGIBLE;
+  }
+
   private boolean hasRoom(TargetService service, ServerInstance instance, CallDemand demand) {
     ServerUse use = useTracker.total(instance);
     boolean fitsMemory =
--- a/core/src/main/java/org/galenapost/core/dispatch/RequestedPauses.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/RequestedPauses.java
@@ -41,6 +41,11 @@
     return remainingNanos(instance) > 0;
   }
 
+  /** Returns how long a server still wants no call; zero if it is in no pause. */
+  public Duration remaining(InstanceKey instance) {
+    return Duration.ofNanos(remainingNanos(instance));
+  }
+
   /**
    * Returns the time until the first of the servers ends its pause; empty if one of them is in no
    * pause, or if there are none.
--- a/core/src/main/java/org/galenapost/core/prompt/HeldPrompts.java
+++ b/core/src/main/java/org/galenapost/core/prompt/HeldPrompts.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.galenapost.core.instance.InstanceKey;
 import org.galenapost.core.time.MonotonicClock;
@@ -114,6 +115,13 @@
     return tokens;
   }
 
+  /** Returns the time since a server has read a prompt; empty if nothing is known to be held. */
+  public Optional<Duration> sinceLastRead(InstanceKey server) {
+    return Optional.ofNullable(servers.get(server))
+        .filter(held -> !held.parts.isEmpty())
+        .map(held -> clock.since(held.lastReadNanos));
+  }
+
   private static double chanceAtAge(Duration age) {
     return Math.pow(2, -(double) age.toNanos() / HALF_LIFE.toNanos());
   }
@@ -130,9 +138,11 @@
 
     private final Map<Long, HeldPart> parts = new LinkedHashMap<>();
     private long tokens;
+    private long lastReadNanos;
 
     /** Adds the parts so that the last one is evicted first, since the others are needed by it. */
     void read(List<PromptPart> read, long nowNanos) {
+      lastReadNanos = nowNanos;
       int count = Math.min(read.size(), MAX_PARTS_PER_SERVER);
       for (int index = count - 1; index >= 0; index--) {
         PromptPart part = read.get(index);
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.galenapost.core.cell.CellBus;
@@ -20,6 +21,7 @@
 import org.galenapost.core.configuration.FollowSettings;
 import org.galenapost.core.configuration.StartCheck;
 import org.galenapost.core.configuration.WatchAssignment;
+import org.galenapost.core.dispatch.PlacementExplainer;
 import org.galenapost.core.dispatch.RetryLoans;
 import org.galenapost.core.dispatch.SendBudget;
 import org.galenapost.core.instance.InstanceDirectory;
@@ -94,6 +96,8 @@
   private final TcpPeerBus bus;
   private Optional<HttpListener> callerListener = Optional.empty();
   private HandoverWiring handover;
+  private PlacementExplainer placementExplainer;
+  private LongSupplier useAgeMs;
 
   private GatewayBuilder(
       GatewaySettings settings,
@@ -177,7 +181,9 @@
     GatewayListeners listeners = new GatewayListeners(settings, eventLoops, state, metrics);
     HttpListener caller = listeners.callers(frontend, callerSocket);
     callerListener = Optional.of(caller);
-    HttpListener operator = listeners.operators();
+    HttpListener operator =
+        listeners.operators(
+            new PlacementRoutes(validator, context.chooser(), placementExplainer, useAgeMs));
     HttpListener readiness = listeners.readiness();
     services.add(operator);
     services.add(
@@ -279,6 +285,8 @@
     IntSupplier liveDaemonCount = () -> bus.livePeerIds().size() + 1;
     ServerConnectionPool pool = serverConnectionPool();
     services.addAll(servers.services());
+    placementExplainer = servers.placementExplainer();
+    useAgeMs = servers::useAgeMs;
     return new GatewayContext(
         settings.daemon().id(),
         clock,
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayListeners.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayListeners.java
@@ -53,9 +53,10 @@
     return new HttpListener(role, address, eventLoops.group(), WRITE_BUFFER_BYTES, pipeline);
   }
 
-  HttpListener operators() {
+  HttpListener operators(PlacementRoutes placement) {
     OperatorRoutes routes = new OperatorRoutes();
     HealthRoutes.addTo(routes, state, metrics);
+    placement.addTo(routes);
     HttpPipeline http = adminPipeline("operator");
     return listener(
         "operator",
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/ServerStateWiring.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/ServerStateWiring.java
@@ -8,6 +8,7 @@
 import org.galenapost.core.dispatch.InstanceChooser;
 import org.galenapost.core.dispatch.InstanceHealth;
 import org.galenapost.core.dispatch.InstanceStatusBroadcaster;
+import org.galenapost.core.dispatch.PlacementExplainer;
 import org.galenapost.core.dispatch.PromptSavings;
 import org.galenapost.core.dispatch.RequestedPauses;
 import org.galenapost.core.dispatch.RetiredInstancesExchange;
@@ -46,6 +47,7 @@
   private final boolean prefersHeldPrompts;
   private final HeldPrompts heldPrompts;
   private final HeldPromptsExchange promptsExchange;
+  private final UseReportExchange useExchange;
   private final InstanceChooser chooser;
 
   ServerStateWiring(
@@ -71,6 +73,7 @@
     this.prefersHeldPrompts = placement.prefersHeldPrompts();
     this.heldPrompts = new HeldPrompts(clock);
     this.promptsExchange = new HeldPromptsExchange(heldPrompts, cellBus, scheduler);
+    this.useExchange = new UseReportExchange(useTracker, cellBus, scheduler, clock);
     this.chooser =
         new InstanceChooser(
             daemon.dataCentre(),
@@ -96,7 +99,7 @@
         Service.of("instance-news", statusBroadcaster::start, () -> {}),
         Service.of("retired-servers", retiredExchange::start, retiredExchange::stop),
         heldPromptsService(),
-        new UseReportExchange(useTracker, cellBus, scheduler),
+        useExchange,
         new InstanceCleaner(
             directory,
             health,
@@ -163,6 +166,15 @@
     return brittleServers;
   }
 
+  PlacementExplainer placementExplainer() {
+    return new PlacementExplainer(chooser, directory, useTracker, health, pauses, heldPrompts);
+  }
+
+  /** Returns the age of the oldest report in force on the use of servers, in milliseconds. */
+  long useAgeMs() {
+    return useExchange.oldestReportAge().toMillis();
+  }
+
   InstanceChooser chooser() {
     return chooser;
   }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/UseReportExchange.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/UseReportExchange.java
@@ -1,9 +1,12 @@
 package org.galenapost.daemon.gateway;
 
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import org.galenapost.core.dispatch.ServerUseTracker;
 import org.galenapost.core.dispatch.UseReport;
 import org.galenapost.core.peer.PeerBus;
+import org.galenapost.core.time.MonotonicClock;
 import org.galenapost.core.time.Scheduler;
 import org.galenapost.daemon.service.Service;
 
@@ -25,16 +28,33 @@
   private final ServerUseTracker useTracker;
   private final PeerBus bus;
   private final Scheduler scheduler;
+  private final MonotonicClock clock;
+  private final Map<String, Long> reportNanos = new HashMap<>();
   private volatile boolean isRunning;
 
-  UseReportExchange(ServerUseTracker useTracker, PeerBus bus, Scheduler scheduler) {
+  UseReportExchange(
+      ServerUseTracker useTracker, PeerBus bus, Scheduler scheduler, MonotonicClock clock) {
     this.useTracker = useTracker;
     this.bus = bus;
     this.scheduler = scheduler;
-    bus.onMessage(UseReport.class, useTracker::applyReport);
+    this.clock = clock;
+    bus.onMessage(UseReport.class, this::applyReport);
     useTracker.onChange(() -> scheduler.schedule(CHANGE_DELAY, this::reportChange));
   }
 
+  private void applyReport(String daemonId, UseReport report) {
+    useTracker.applyReport(daemonId, report);
+    reportNanos.put(daemonId, clock.nanos());
+  }
+
+  /** Returns the age of the oldest report in force; zero without other daemons. */
+  Duration oldestReportAge() {
+    return reportNanos.values().stream()
+        .map(clock::since)
+        .max(Duration::compareTo)
+        .orElse(Duration.ZERO);
+  }
+
   @Override
   public String name() {
     return "use-exchange";
@@ -60,6 +80,7 @@
   private void reportPeriodically() {
     if (isRunning) {
       useTracker.retainOnly(bus.livePeerIds());
+      reportNanos.keySet().retainAll(bus.livePeerIds());
       useTracker.pollChangedReport();
       bus.broadcast(useTracker.currentReport());
       scheduler.schedule(REPORT_PERIOD, this::reportPeriodically);
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/RequestValidator.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/RequestValidator.java
@@ -109,6 +109,17 @@
                     head, tickets.take(head.id(), request.headers()), body, startNanos));
   }
 
+  /**
+   * Validates the head of a call without a body and selects the service for it, as {@link
+   * #validate} does.
+   *
+   * @param head the head of the call
+   * @return the call, or why it would be refused
+   */
+  public Either<Refusal, AcceptedCall> validateHead(CallHead head) {
+    return checkAgainstRoutes(head, Optional.empty(), new byte[0], 0);
+  }
+
   private static Either<Refusal, FullHttpRequest> checkFraming(FullHttpRequest request) {
     if (request.decoderResult().isFailure()) {
       return Either.left(malformed(request.decoderResult().cause()));
