--- a/core/src/main/java/org/galenapost/core/dispatch/InstanceChooser.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/InstanceChooser.java
@@ -1,12 +1,14 @@
 package org.galenapost.core.dispatch;
 
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.IntStream;
 import org.galenapost.core.instance.InstanceDirectory;
 import org.galenapost.core.instance.InstanceKey;
 import org.galenapost.core.instance.ServerInstance;
@@ -64,6 +66,7 @@
   private final RandomSource random;
   private final NearEqualPick nearEqualPick;
   private final StartRamp startRamp;
+  private final PromptSavings promptSavings;
 
   /**
    * Creates a chooser.
@@ -74,13 +77,15 @@
    *     the use reports of other daemons about it
    * @param observations what is known of servers beyond their announcements
    * @param random breaks ties
+   * @param promptSavings what servers need not read of a prompt
    */
   public InstanceChooser(
       String dataCentre,
       InstanceDirectory directory,
       Predicate<ServerInstance> isOwnCell,
       ServerObservations observations,
-      RandomSource random) {
+      RandomSource random,
+      PromptSavings promptSavings) {
     this.dataCentre = dataCentre;
     this.directory = directory;
     this.isOwnCell = isOwnCell;
@@ -92,6 +97,7 @@
     this.random = random;
     this.nearEqualPick = new NearEqualPick(random);
     this.startRamp = new StartRamp(directory::sinceAppeared, random);
+    this.promptSavings = promptSavings;
   }
 
   /**
@@ -105,10 +111,7 @@
    */
   public Optional<Choice> choose(
       TargetService service, CallDemand demand, ServerConstraint constraint) {
-    Predicate<ServerInstance> isAllowed =
-        constraint.softwareVersion().isPresent()
-            ? instance -> constraint.allows(instance) && !health.mayHaveRestarted(instance.key())
-            : constraint::allows;
+    Predicate<ServerInstance> isAllowed = instance -> isAllowed(instance, constraint);
     Optional<Choice> ready =
         chooseAmong(service, directory.ready(service.name()), demand, isAllowed);
     return ready.isPresent()
@@ -142,7 +145,7 @@
     return chooseAmong(
             service,
             directory.ready(service.name()),
-            demand,
+            demand.withPromptParts(List.of()),
             instance ->
                 constraint.allows(instance) && !instance.dataCentre().equals(runner.dataCentre()))
         .filter(choice -> choice.expectedWaitMs() < EngineWait.FULL_ENGINE_WAIT_MS)
@@ -156,10 +159,9 @@
       Predicate<ServerInstance> isAllowed) {
     List<ServerInstance> allowed =
         candidates.stream()
-            .filter(isAllowed)
-            .filter(instance -> !pauses.isPaused(instance.key()))
             .filter(
-                instance -> !isBrittle.test(instance.key()) || hasRoom(service, instance, demand))
+                instance ->
+                    eligibility(service, instance, demand, isAllowed) == Eligibility.ELIGIBLE)
             .toList();
     List<ServerInstance> ownCell = allowed.stream().filter(isOwnCell).toList();
     Optional<Choice> ownChoice = shortestWait(service, ownCell, demand);
@@ -170,6 +172,36 @@
         : shortestWait(service, allowed, demand);
   }
 
+  private boolean isAllowed(ServerInstance instance, ServerConstraint constraint) {
+    return constraint.allows(instance)
+        && (constraint.softwareVersion().isEmpty() || !health.mayHaveRestarted(instance.key()));
+  }
+
+  /** Returns whether a server may be chosen for a call, or why not. */
+  Eligibility eligibility(
+      TargetService service,
+      ServerInstance instance,
+      CallDemand demand,
+      ServerConstraint constraint) {
+    return eligibility(service, instance, demand, one -> isAllowed(one, constraint));
+  }
+
+  private Eligibility eligibility(
+      TargetService service,
+      ServerInstance instance,
+      CallDemand demand,
+      Predicate<ServerInstance> isAllowed) {
+    if (!isAllowed.test(instance)) {
+      return Eligibility.NOT_ALLOWED;
+    }
+    if (pauses.isPaused(instance.key())) {
+      return Eligibility.PAUSED;
+    }
+    return isBrittle.test(instance.key()) && !hasRoom(service, instance, demand)
+        ? Eligibility.BRITTLE_WITHOUT_ROOM
+        : Eligibility.ELIGIBLE;
+  }
+
   private boolean hasRoom(TargetService service, ServerInstance instance, CallDemand demand) {
     ServerUse use = useTracker.total(instance);
     boolean fitsMemory =
@@ -184,17 +216,36 @@
       TargetService service, List<ServerInstance> instances, CallDemand demand) {
     boolean isEngine = service.engineMemory().isPresent();
     List<ServerInstance> candidates = isEngine ? startRamp.admitted(instances) : instances;
-    List<Choice> choices =
-        candidates.stream()
-            .map(instance -> new Choice(instance, expectedWaitMs(service, instance, demand)))
-            .toList();
-    if (isEngine) {
-      return nearEqualPick.pick(choices, NEAR_EQUAL_ENGINES_MS);
-    }
-    return choices.stream()
-        .min(
-            Comparator.comparingDouble(
-                choice -> choice.expectedWaitMs() + TIE_BREAK_JITTER_MS * random.nextDouble()));
+    List<PromptPreference.Estimate> estimates =
+        candidates.stream().map(instance -> estimate(service, instance, demand)).toList();
+    return isEngine
+        ? PromptPreference.select(
+            estimates, waits -> nearEqualPick.pick(waits, NEAR_EQUAL_ENGINES_MS))
+        : PromptPreference.select(estimates, this::pickShortest);
+  }
+
+  private int pickShortest(double[] waitsMs) {
+    double[] jittered =
+        Arrays.stream(waitsMs).map(ms -> ms + TIE_BREAK_JITTER_MS * random.nextDouble()).toArray();
+    return IntStream.range(0, jittered.length)
+        .boxed()
+        .min(Comparator.comparingDouble(i -> jittered[i]))
+        .orElseThrow();
+  }
+
+  /** Estimates the wait at a server and what the server need not read of the prompt. */
+  PromptPreference.Estimate estimate(
+      TargetService service, ServerInstance instance, CallDemand demand) {
+    double waitMs = expectedWaitMs(service, instance, demand);
+    boolean isSuspect =
+        health.isAvoided(instance.key())
+            || health.failureShare(instance.key()) > TOLERATED_FAILURE_SHARE;
+    double savedTokens =
+        isSuspect
+            ? 0
+            : promptSavings.savedTokens(service, instance, demand, useTracker.total(instance));
+    return new PromptPreference.Estimate(
+        instance, waitMs, savedTokens, savedTokens / speeds.tokensPerMs(instance.key()));
   }
 
   private double expectedWaitMs(TargetService service, ServerInstance instance, CallDemand demand) {
@@ -236,7 +287,14 @@
    *
    * @param instance the server
    * @param expectedWaitMs the expected wait of the call beyond the time in which an engine of
-   *     nominal speed reads its prompt, in milliseconds; below 0 at a fast idle engine
+   *     nominal speed reads its prompt, less the time that a held beginning of the prompt saves, in
+   *     milliseconds; below 0 at a fast idle engine
+   * @param savedTokens the prompt tokens that the server is expected not to read
+   * @param isDueToHeldPrompt whether another server would be chosen if none held any prompt
    */
-  public record Choice(ServerInstance instance, double expectedWaitMs) {}
+  public record Choice(
+      ServerInstance instance,
+      double expectedWaitMs,
+      double savedTokens,
+      boolean isDueToHeldPrompt) {}
 }
--- a/core/src/main/java/org/galenapost/core/dispatch/NearEqualPick.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/NearEqualPick.java
@@ -1,9 +1,7 @@
 package org.galenapost.core.dispatch;
 
-import java.util.Comparator;
-import java.util.List;
-import java.util.Optional;
-import org.galenapost.core.dispatch.InstanceChooser.Choice;
+import java.util.Arrays;
+import java.util.stream.IntStream;
 import org.galenapost.core.time.RandomSource;
 
 /**
@@ -20,24 +18,25 @@
   }
 
   /**
-   * Returns one of the choices; empty if there are none.
+   * Returns the index of one of the waits, of which there is at least one.
    *
-   * @param choices the servers with their expected waits
+   * @param waitsMs the expected waits, in milliseconds
    * @param marginMs the difference from the shortest wait up to which servers count as equal
    */
-  Optional<Choice> pick(List<Choice> choices, double marginMs) {
-    double shortestMs = choices.stream().mapToDouble(Choice::expectedWaitMs).min().orElse(0);
-    List<Choice> nearEqual =
-        choices.stream()
-            .filter(choice -> choice.expectedWaitMs() <= shortestMs + marginMs)
-            .toList();
-    if (nearEqual.size() < 2) {
-      return nearEqual.stream().findFirst();
+  int pick(double[] waitsMs, double marginMs) {
+    double shortestMs = Arrays.stream(waitsMs).min().orElseThrow();
+    int[] nearEqual =
+        IntStream.range(0, waitsMs.length)
+            .filter(i -> waitsMs[i] <= shortestMs + marginMs)
+            .toArray();
+    if (nearEqual.length < 2) {
+      return nearEqual[0];
     }
-    int first = random.nextIndex(nearEqual.size());
-    int offset = 1 + random.nextIndex(nearEqual.size() - 1);
-    int second = (first + offset) % nearEqual.size();
-    return List.of(nearEqual.get(first), nearEqual.get(second)).stream()
-        .min(Comparator.comparingDouble(Choice::expectedWaitMs));
+    int first = random.nextIndex(nearEqual.length);
+    int offset = 1 + random.nextIndex(nearEqual.length - 1);
+    int second = (first + offset) % nearEqual.length;
+    return waitsMs[nearEqual[first]] <= waitsMs[nearEqual[second]]
+        ? nearEqual[first]
+        : nearEqual[second];
   }
 }
--- a/core/src/test/java/org/galenapost/core/dispatch/InstanceChooserTest.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/InstanceChooserTest.java
@@ -44,7 +44,8 @@
           directory,
           server -> ownCell.test(server),
           new ServerObservations(useTracker, speeds, health, pauses, brittle::contains),
-          () -> 0.5);
+          () -> 0.5,
+          PromptSavings.NONE);
   private long revision;
 
   @Test
--- a/core/src/test/java/org/galenapost/core/dispatch/PlacementModel.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/PlacementModel.java
@@ -154,7 +154,8 @@
                   new InstanceHealth(time),
                   new RequestedPauses(time),
                   server -> false),
-              random::nextDouble);
+              random::nextDouble,
+              PromptSavings.NONE);
     }
 
     void call(CallDemand demand) {
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/ClassArchiveTraining.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/ClassArchiveTraining.java
@@ -27,6 +27,7 @@
 import org.galenapost.daemon.settings.GatewayTimings;
 import org.galenapost.daemon.settings.OperatorSettings;
 import org.galenapost.daemon.settings.PeerSettings;
+import org.galenapost.daemon.settings.PlacementSettings;
 import org.galenapost.daemon.settings.PlatformSettings;
 import org.galenapost.daemon.settings.ReadinessSettings;
 import org.galenapost.daemon.settings.RepeatSettings;
@@ -118,7 +119,8 @@
             new SocketAddressSetting(IP, platformPort), CALL_TIMEOUT, CALL_TIMEOUT, true),
         new RepeatSettings(1, CALL_TIMEOUT, 1),
         new GatewayTimings(CALL_TIMEOUT, CALL_TIMEOUT, Duration.ZERO, Duration.ZERO),
-        Optional.empty());
+        Optional.empty(),
+        new PlacementSettings(true));
   }
 
   /** Loads all classes of the program's jar, since the training run makes no calls. */
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.galenapost.core.cell.CellBus;
@@ -20,6 +21,7 @@
 import org.galenapost.core.configuration.FollowSettings;
 import org.galenapost.core.configuration.StartCheck;
 import org.galenapost.core.configuration.WatchAssignment;
+import org.galenapost.core.dispatch.PlacementExplainer;
 import org.galenapost.core.dispatch.RetryLoans;
 import org.galenapost.core.dispatch.SendBudget;
 import org.galenapost.core.instance.InstanceDirectory;
@@ -97,6 +99,8 @@
   private final TcpPeerBus bus;
   private Optional<HttpListener> callerListener = Optional.empty();
   private HandoverWiring handover;
+  private PlacementExplainer placementExplainer;
+  private LongSupplier useAgeMs;
 
   private GatewayBuilder(
       GatewaySettings settings,
@@ -182,7 +186,9 @@
     GatewayListeners listeners = new GatewayListeners(settings, eventLoops, state, metrics, heads);
     HttpListener caller = listeners.callers(frontend, callerSocket);
     callerListener = Optional.of(caller);
-    HttpListener operator = listeners.operators();
+    HttpListener operator =
+        listeners.operators(
+            new PlacementRoutes(validator, context.chooser(), placementExplainer, useAgeMs));
     HttpListener readiness = listeners.readiness();
     services.add(operator);
     services.add(
@@ -285,6 +291,8 @@
     IntSupplier liveDaemonCount = () -> bus.livePeerIds().size() + 1;
     ServerConnectionPool pool = serverConnectionPool();
     services.addAll(servers.services());
+    placementExplainer = servers.placementExplainer();
+    useAgeMs = servers::useAgeMs;
     return new GatewayContext(
         settings.daemon().id(),
         clock,
@@ -298,6 +306,7 @@
         servers.speeds(),
         servers.health(),
         servers.pauses(),
+        servers.promptReads(),
         servers.limits(),
         servers.brittleServers(),
         servers.permits(),
@@ -350,6 +359,7 @@
     ServerStateWiring servers =
         new ServerStateWiring(
             settings.daemon(),
+            settings.placement(),
             directory,
             cells,
             bus,
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/ServerStateWiring.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/ServerStateWiring.java
@@ -5,9 +5,12 @@
 import org.galenapost.core.cell.CellBus;
 import org.galenapost.core.cell.FleetCells;
 import org.galenapost.core.dispatch.BrittleServers;
+import org.galenapost.core.dispatch.HeldPromptSavings;
 import org.galenapost.core.dispatch.InstanceChooser;
 import org.galenapost.core.dispatch.InstanceHealth;
 import org.galenapost.core.dispatch.InstanceStatusBroadcaster;
+import org.galenapost.core.dispatch.PlacementExplainer;
+import org.galenapost.core.dispatch.PromptSavings;
 import org.galenapost.core.dispatch.RequestedPauses;
 import org.galenapost.core.dispatch.RetiredInstancesExchange;
 import org.galenapost.core.dispatch.SendPermits;
@@ -18,6 +21,9 @@
 import org.galenapost.core.instance.InstanceDirectory;
 import org.galenapost.core.instance.InstanceKey;
 import org.galenapost.core.peer.PeerBus;
+import org.galenapost.core.prompt.HeldPrompts;
+import org.galenapost.core.prompt.HeldPromptsExchange;
+import org.galenapost.core.prompt.PromptReadListener;
 import org.galenapost.core.time.MonotonicClock;
 import org.galenapost.core.time.RandomSource;
 import org.galenapost.core.time.Scheduler;
@@ -25,6 +31,7 @@
 import org.galenapost.daemon.metrics.DaemonMetrics;
 import org.galenapost.daemon.service.Service;
 import org.galenapost.daemon.settings.DaemonSettings;
+import org.galenapost.daemon.settings.PlacementSettings;
 
 /** Joins what a daemon knows of servers: their use, failures and wishes, and the choice by them. */
 final class ServerStateWiring {
@@ -42,10 +49,15 @@
   private final BrittleServers brittleServers;
   private final RetiredInstancesExchange retiredExchange;
   private final ServerSpeeds speeds;
+  private final boolean prefersHeldPrompts;
+  private final HeldPrompts heldPrompts;
+  private final HeldPromptsExchange promptsExchange;
+  private final UseReportExchange useExchange;
   private final InstanceChooser chooser;
 
   ServerStateWiring(
       DaemonSettings daemon,
+      PlacementSettings placement,
       InstanceDirectory directory,
       FleetCells cells,
       PeerBus bus,
@@ -64,13 +76,21 @@
     this.brittleServers = new BrittleServers(bus, clock, pauses, GatewayLog.brittleServers());
     this.retiredExchange = new RetiredInstancesExchange(directory, bus, scheduler, random);
     this.speeds = new ServerSpeeds(cellBus, clock, scheduler);
+    this.prefersHeldPrompts = placement.prefersHeldPrompts();
+    this.heldPrompts = new HeldPrompts(clock);
+    this.promptsExchange = new HeldPromptsExchange(heldPrompts, cellBus, scheduler);
+    this.useExchange = new UseReportExchange(useTracker, cellBus, scheduler, clock);
     this.chooser =
         new InstanceChooser(
             daemon.dataCentre(),
             directory,
             cells::contains,
             new ServerObservations(useTracker, speeds, health, pauses, brittleServers::isBrittle),
-            random);
+            random,
+            prefersHeldPrompts ? new HeldPromptSavings(heldPrompts) : PromptSavings.NONE);
+    if (prefersHeldPrompts) {
+      health.onLoss(promptsExchange::onLost);
+    }
   }
 
   /** Returns the services in the order in which they start. */
@@ -82,7 +102,8 @@
         Service.of("instance-news", statusBroadcaster::start, () -> {}),
         Service.of("retired-servers", retiredExchange::start, retiredExchange::stop),
         Service.of("server-speeds", speeds::start, speeds::stop),
-        new UseReportExchange(useTracker, cellBus, scheduler),
+        heldPromptsService(),
+        useExchange,
         new InstanceCleaner(
             directory,
             health,
@@ -98,6 +119,20 @@
   private void retainServers(Set<InstanceKey> servers) {
     paces.retainOnly(servers);
     speeds.retainOnly(servers);
+    heldPrompts.retainOnly(servers);
+  }
+
+  /**
+   * Returns the exchange of held prompts, which sends and receives nothing if they are not used.
+   */
+  private Service heldPromptsService() {
+    Runnable start = prefersHeldPrompts ? promptsExchange::start : () -> {};
+    return Service.of("held-prompts", start, promptsExchange::stop);
+  }
+
+  /** Returns the listener that learns which prompts servers have read. */
+  PromptReadListener promptReads() {
+    return prefersHeldPrompts ? promptsExchange : PromptReadListener.NONE;
   }
 
   void addGauges(DaemonMetrics metrics) {
@@ -107,6 +142,7 @@
     metrics.registerGauge("galenapost.gateway.servers.brittle", brittleServers::count);
     metrics.registerGauge("galenapost.gateway.speed.samples", speeds::sampleCount);
     metrics.registerGauge("galenapost.gateway.speed.lowest.tokens.per.s", speeds::lowestTokensPerS);
+    metrics.registerGauge("galenapost.gateway.held.prompt.parts", heldPrompts::partCount);
   }
 
   ServerUseTracker useTracker() {
@@ -145,6 +181,15 @@
     return brittleServers;
   }
 
+  PlacementExplainer placementExplainer() {
+    return new PlacementExplainer(chooser, directory, useTracker, health, pauses, heldPrompts);
+  }
+
+  /** Returns the age of the oldest report in force on the use of servers, in milliseconds. */
+  long useAgeMs() {
+    return useExchange.oldestReportAge().toMillis();
+  }
+
   InstanceChooser chooser() {
     return chooser;
   }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/GatewayContext.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/GatewayContext.java
@@ -19,6 +19,7 @@
 import org.galenapost.core.loss.StallGuard;
 import org.galenapost.core.origin.OriginRecords;
 import org.galenapost.core.origin.StreamOrigins;
+import org.galenapost.core.prompt.PromptReadListener;
 import org.galenapost.core.quarantine.PromptPartQuarantine;
 import org.galenapost.core.quarantine.RequestGuard;
 import org.galenapost.core.rollout.Rollouts;
@@ -44,6 +45,7 @@
  * @param speeds the measured speed of each server
  * @param health records recent failures of servers
  * @param pauses the pauses that servers asked for
+ * @param promptReads is notified of prompts that servers have read
  * @param limits the limits that servers name
  * @param brittleServers the servers that fall over if they have to refuse many calls
  * @param permits keeps the sends of all daemons within the limits of servers
@@ -77,6 +79,7 @@
     ServerSpeeds speeds,
     InstanceHealth health,
     RequestedPauses pauses,
+    PromptReadListener promptReads,
     ServerLimits limits,
     BrittleServers brittleServers,
     SendPermits permits,
--- a/daemon/src/main/java/org/galenapost/daemon/peer/PeerMessageTypes.java
+++ b/daemon/src/main/java/org/galenapost/daemon/peer/PeerMessageTypes.java
@@ -30,6 +30,7 @@
 import org.galenapost.core.membership.MembershipMessage;
 import org.galenapost.core.origin.StreamOriginMessage;
 import org.galenapost.core.peer.PeerMessage;
+import org.galenapost.core.prompt.HeldPromptsNotice;
 import org.galenapost.core.quarantine.IsolationClaim;
 import org.galenapost.core.quarantine.PartLossReport;
 import org.galenapost.core.quarantine.PartProof;
@@ -89,7 +90,8 @@
           new NamedType(HandoverStatus.class, "handover-status"),
           new NamedType(RolloutMessage.Orders.class, "rollout-orders"),
           new NamedType(RolloutMessage.Report.class, "rollout-report"),
-          new NamedType(RolloutMessage.Lease.class, "rollout-lease"));
+          new NamedType(RolloutMessage.Lease.class, "rollout-lease"),
+          new NamedType(HeldPromptsNotice.class, "held-prompts-notice"));
 
   private PeerMessageTypes() {}
 
--- a/daemon/src/main/java/org/galenapost/daemon/settings/GatewaySettings.java
+++ b/daemon/src/main/java/org/galenapost/daemon/settings/GatewaySettings.java
@@ -19,6 +19,7 @@
  * @param repeats the limits on retries
  * @param timings the timeouts and drain times
  * @param rollouts the bounds of roll-outs; without them the daemon takes part in none
+ * @param placement what the choice of servers takes into account
  */
 public record GatewaySettings(
     DaemonSettings daemon,
@@ -29,7 +30,8 @@
     PlatformSettings platform,
     RepeatSettings repeats,
     GatewayTimings timings,
-    Optional<RolloutSettings> rollouts) {
+    Optional<RolloutSettings> rollouts,
+    PlacementSettings placement) {
 
   /**
    * Reads and validates a YAML file.
@@ -58,7 +60,8 @@
             root.section("platform", PlatformSettings::bindForGateway),
             root.section("repeats", RepeatSettings::bind),
             root.section("timings", GatewayTimings::bind),
-            root.section("rollouts", RolloutSection::bind));
+            root.section("rollouts", RolloutSection::bind),
+            root.section("placement", PlacementSettings::bind));
     root.rejectUnknownKeys();
     return settings;
   }
