--- a/core/src/test/java/org/galenapost/core/rollout/RolloutFleet.java
+++ b/core/src/test/java/org/galenapost/core/rollout/RolloutFleet.java
@@ -151,6 +151,12 @@
         });
   }
 
+  private Optional<String> anyOf(List<String> versions) {
+    return versions.isEmpty()
+        ? Optional.empty()
+        : Optional.of(versions.get(random.nextInt(versions.size())));
+  }
+
   private void request() {
     List<String> ids = List.copyOf(members.keySet());
     Rollouts rollouts = members.get(ids.get(random.nextInt(ids.size()))).rollouts();
@@ -159,7 +165,7 @@
         share
             .preferred()
             .filter(running::contains)
-            .or(() -> running.stream().filter(v -> !share.denied().contains(v)).findFirst());
+            .or(() -> anyOf(running.stream().filter(v -> !share.denied().contains(v)).toList()));
     if (version.isEmpty()) {
       return;
     }
--- a/core/src/test/java/org/galenapost/core/rollout/RolloutsTest.java
+++ b/core/src/test/java/org/galenapost/core/rollout/RolloutsTest.java
@@ -214,8 +214,10 @@
             .filter(id -> fleet.members.get(id).rollouts().coordinated().isEmpty())
             .findFirst();
 
-    assertThat(fleet.members.get(follower.orElseThrow()).rollouts().versions("pool").preferred())
-        .isEmpty();
+    VersionShare share = fleet.members.get(follower.orElseThrow()).rollouts().versions("pool");
+    assertThat(share.preferred()).isEmpty();
+    assertThat(share.resumable()).isEmpty();
+    assertThat(share.denied()).containsExactly("v2");
   }
 
   /** Guards against a corrected order that is taken for the faulty one before it. */
