--- a/core/src/main/java/org/galenapost/core/dispatch/PlacementExplainer.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/PlacementExplainer.java
@@ -17,6 +17,7 @@
  */
 public final class PlacementExplainer {
 
+  private static final double CHOSEN_ORDER = -1;
   private static final double NOT_ELIGIBLE_ORDER = Double.MAX_VALUE;
 
   private final InstanceChooser chooser;
@@ -52,8 +53,8 @@
   }
 
   /**
-   * Returns the servers of a service, the shortest expected wait first and those that are left out
-   * last.
+   * Returns the servers of a service: the chosen one, the others by their expected wait, and those
+   * that are left out.
    *
    * @param service the service
    * @param demand the resources that the call needs
@@ -78,8 +79,12 @@
   }
 
   private static double order(PlacementCandidate candidate) {
-    boolean isEligible = List.of("chosen", "eligible").contains(candidate.decision());
-    return isEligible ? candidate.expectedWaitMs() : NOT_ELIGIBLE_ORDER;
+    if (candidate.decision().equals("chosen")) {
+      return CHOSEN_ORDER;
+    }
+    return candidate.decision().equals(Eligibility.ELIGIBLE.text())
+        ? candidate.expectedWaitMs()
+        : NOT_ELIGIBLE_ORDER;
   }
 
   private PlacementCandidate candidate(
