--- a/daemon/src/main/java/org/galenapost/daemon/gateway/ServerStateWiring.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/ServerStateWiring.java
@@ -13,6 +13,7 @@
 import org.galenapost.core.dispatch.PromptSavings;
 import org.galenapost.core.dispatch.RequestedPauses;
 import org.galenapost.core.dispatch.RetiredInstancesExchange;
+import org.galenapost.core.dispatch.RoomQueue;
 import org.galenapost.core.dispatch.SendPermits;
 import org.galenapost.core.dispatch.ServerLimits;
 import org.galenapost.core.dispatch.ServerObservations;
@@ -53,6 +54,7 @@
   private final HeldPrompts heldPrompts;
   private final HeldPromptsExchange promptsExchange;
   private final UseReportExchange useExchange;
+  private final RoomQueue roomQueue;
   private final InstanceChooser chooser;
 
   ServerStateWiring(
@@ -80,6 +82,7 @@
     this.heldPrompts = new HeldPrompts(clock);
     this.promptsExchange = new HeldPromptsExchange(heldPrompts, cellBus, scheduler);
     this.useExchange = new UseReportExchange(useTracker, cellBus, scheduler, clock);
+    this.roomQueue = new RoomQueue(clock, scheduler, random);
     this.chooser =
         new InstanceChooser(
             daemon.dataCentre(),
@@ -140,6 +143,9 @@
     metrics.registerGauge("galenapost.gateway.permits.granted", permits::grantedCount);
     metrics.registerGauge("galenapost.gateway.permits.denied", permits::deniedCount);
     metrics.registerGauge("galenapost.gateway.servers.brittle", brittleServers::count);
+    metrics.registerGauge("galenapost.gateway.room.waiting", roomQueue::waitingCount);
+    metrics.registerGauge("galenapost.gateway.room.started", roomQueue::startedCount);
+    metrics.registerGauge("galenapost.gateway.room.refused", roomQueue::refusedCount);
     metrics.registerGauge("galenapost.gateway.speed.samples", speeds::sampleCount);
     metrics.registerGauge("galenapost.gateway.speed.lowest.tokens.per.s", speeds::lowestTokensPerS);
     metrics.registerGauge("galenapost.gateway.held.prompt.parts", heldPrompts::partCount);
@@ -149,6 +155,10 @@
     return useTracker;
   }
 
+  RoomQueue roomQueue() {
+    return roomQueue;
+  }
+
   ServerSpeeds speeds() {
     return speeds;
   }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/VersionSelection.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/VersionSelection.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.galenapost.core.dispatch.CallDemand;
 import org.galenapost.core.dispatch.InstanceChooser.Choice;
 import org.galenapost.core.dispatch.ServerConstraint;
 import org.galenapost.core.hashing.Rendezvous;
@@ -28,7 +29,7 @@
   }
 
   /** Chooses a server of an allowed version; the target of a roll-out is tried first. */
-  Optional<Choice> choose(Set<InstanceKey> excluded) {
+  Optional<Choice> choose(CallDemand demand, Set<InstanceKey> excluded) {
     VersionShare share = share();
     ServerConstraint constraint =
         binding.constraint(excluded).withDeniedVersions(deniedVersions(share));
@@ -36,19 +37,20 @@
         share
             .preferred()
             .filter(target -> binding.origin().isEmpty())
-            .flatMap(target -> chooseAt(target, share, excluded));
-    return atTarget.or(() -> choose(constraint));
+            .flatMap(target -> chooseAt(target, share, demand, excluded));
+    return atTarget.or(() -> choose(demand, constraint));
   }
 
-  private Optional<Choice> choose(ServerConstraint constraint) {
-    return context.chooser().choose(call.service(), call.head().demand(), constraint);
+  private Optional<Choice> choose(CallDemand demand, ServerConstraint constraint) {
+    return context.chooser().choose(call.service(), demand, constraint);
   }
 
   /**
    * Chooses among few servers of the target while it is on trial, so that each has the load that it
    * will have to bear.
    */
-  private Optional<Choice> chooseAt(String target, VersionShare share, Set<InstanceKey> excluded) {
+  private Optional<Choice> chooseAt(
+      String target, VersionShare share, CallDemand demand, Set<InstanceKey> excluded) {
     List<ServerInstance> ready = context.directory().ready(call.service().name());
     List<ServerInstance> targets =
         ready.stream().filter(server -> server.runsVersion(target)).toList();
@@ -62,7 +64,7 @@
         .skip(maxServers)
         .map(ServerInstance::key)
         .forEach(avoided::add);
-    return choose(ServerConstraint.excluding(avoided).withSoftwareVersion(target));
+    return choose(demand, ServerConstraint.excluding(avoided).withSoftwareVersion(target));
   }
 
   private VersionShare share() {
