--- a/core/src/main/java/org/galenapost/core/dispatch/StartRamp.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/StartRamp.java
@@ -33,19 +33,29 @@
     this.random = random;
   }
 
-  /** Returns the servers that take part in a choice; all of them if none would. */
+  /**
+   * Returns the servers that take part in a choice; all of them if none would, or if most have just
+   * appeared, as to a daemon that has just started.
+   */
   List<ServerInstance> admitted(List<ServerInstance> servers) {
+    long newServers = servers.stream().filter(server -> isNew(server.key())).count();
+    if (newServers == 0 || 2 * newServers > servers.size()) {
+      return servers;
+    }
     List<ServerInstance> admitted =
         servers.stream().filter(server -> isAdmitted(server.key())).toList();
     return admitted.isEmpty() ? servers : admitted;
   }
 
+  private boolean isNew(InstanceKey server) {
+    return sinceAppeared.apply(server).compareTo(RAMP) < 0;
+  }
+
   private boolean isAdmitted(InstanceKey server) {
-    Duration known = sinceAppeared.apply(server);
-    if (known.compareTo(RAMP) >= 0) {
+    if (!isNew(server)) {
       return true;
     }
-    double progress = (double) known.toNanos() / RAMP.toNanos();
+    double progress = (double) sinceAppeared.apply(server).toNanos() / RAMP.toNanos();
     return random.nextDouble() < INITIAL_SHARE + (1 - INITIAL_SHARE) * progress;
   }
 }
