--- a/core/src/main/java/org/galenapost/core/rollout/RolloutCoordinator.java
+++ b/core/src/main/java/org/galenapost/core/rollout/RolloutCoordinator.java
@@ -98,7 +98,11 @@
     } else if (trial.stage() == RolloutStage.TRIAL && mayShift(trial, results)) {
       trial.enter(RolloutStage.SHIFTING, results.targetAnswers() + " good answers");
     } else if (trial.stage() == RolloutStage.TRIAL && trial.elapsedShare() >= COMPLETION_SHARE) {
-      trial.enter(RolloutStage.REVERTED, "too few answers to judge by: " + results.targetAnswers());
+      trial.enter(
+          RolloutStage.REVERTED,
+          (RolloutVerdict.isDoubtful(results) ? "still in doubt after " : "too few answers: ")
+              + results.targetAnswers()
+              + " answers");
     } else if (trial.elapsedShare() >= 1) {
       trial.enter(RolloutStage.REVERTED, "the time limit has passed");
     }
@@ -109,6 +113,7 @@
     long minOnRoute = elapsed >= RARE_ROUTE_SHARE ? 0 : RolloutVerdict.MIN_ANSWERS;
     return elapsed >= SHIFT_SHARE
         && results.targetAnswers() >= RolloutVerdict.MIN_ANSWERS
+        && !RolloutVerdict.isDoubtful(results)
         && results.routes().stream()
             .allMatch(route -> results.targetOn(route).answers() >= minOnRoute);
   }
--- a/core/src/main/java/org/galenapost/core/rollout/RolloutVerdict.java
+++ b/core/src/main/java/org/galenapost/core/rollout/RolloutVerdict.java
@@ -17,6 +17,13 @@
    */
   private static final double CHANCE = 1e-8;
 
+  /**
+   * The probability below which a difference keeps all requests from moving to the target. A wrong
+   * guess here only delays the move, so it can be larger than that for a verdict. At 0.01 one of 60
+   * good versions stayed in doubt to the end, as several figures of each route are compared.
+   */
+  private static final double DOUBT_CHANCE = 1e-5;
+
   /** The standard errors by which few answers of the other versions may understate their share. */
   private static final double STANDARD_ERRORS = 2;
 
@@ -33,6 +40,17 @@
 
   /** Returns why the target is bad, empty as long as the results do not show that. */
   static Optional<String> fault(RolloutResults results) {
+    return fault(results, CHANCE);
+  }
+
+  /**
+   * Returns whether the target may be bad: its results are worse than chance usually makes them.
+   */
+  static boolean isDoubtful(RolloutResults results) {
+    return fault(results, DOUBT_CHANCE).isPresent();
+  }
+
+  private static Optional<String> fault(RolloutResults results, double chance) {
     Set<String> routes = new HashSet<>(results.target().keySet());
     Sample all = new Sample(0, 0, 0, 0);
     Sample allSlow = all;
@@ -45,7 +63,7 @@
       Sample slow = slowSample(target, others);
       Sample lost =
           new Sample(target.losses(), target.answers(), others.losses(), others.answers());
-      Optional<String> fault = fault(failed, slow, lost, "on route " + route);
+      Optional<String> fault = fault(failed, slow, lost, chance, "on route " + route);
       if (fault.isPresent()) {
         return fault;
       }
@@ -53,7 +71,7 @@
       allSlow = allSlow.plus(slow);
       allLost = allLost.plus(lost);
     }
-    return fault(all, allSlow, allLost, "in all");
+    return fault(all, allSlow, allLost, chance, "in all");
   }
 
   private static Sample slowSample(RouteTotals target, RouteTotals others) {
@@ -65,14 +83,15 @@
         target.slowerThan(limit), target.timed(), others.slowerThan(limit), others.timed());
   }
 
-  private static Optional<String> fault(Sample failed, Sample slow, Sample lost, String where) {
-    if (failed.isWorse(1)) {
+  private static Optional<String> fault(
+      Sample failed, Sample slow, Sample lost, double chance, String where) {
+    if (failed.isWorse(1, chance)) {
       return Optional.of(failed.describe("failed", where));
     }
-    if (slow.isWorse(1)) {
+    if (slow.isWorse(1, chance)) {
       return Optional.of(slow.describe("were slow", where));
     }
-    return lost.isWorse(LOSSES_PER_CRASH)
+    return lost.isWorse(LOSSES_PER_CRASH, chance)
         ? Optional.of(lost.describe("were lost", where))
         : Optional.empty();
   }
@@ -88,7 +107,7 @@
     }
 
     /** Returns whether so many bad answers are improbable at the share of the other versions. */
-    boolean isWorse(double clusterSize) {
+    boolean isWorse(double clusterSize, double chance) {
       if (answers < MIN_ANSWERS || bad == 0) {
         return false;
       }
@@ -98,7 +117,7 @@
       double error = Math.sqrt(mean * (1 - mean) / (othersInClusters + 2));
       double expected = Math.min(1, mean + STANDARD_ERRORS * error);
       return upperTail(Math.round(answers / clusterSize), (long) (bad / clusterSize), expected)
-          < CHANCE;
+          < chance;
     }
 
     String describe(String what, String where) {
