--- a/core/src/main/java/org/galenapost/core/cell/FleetCells.java
+++ b/core/src/main/java/org/galenapost/core/cell/FleetCells.java
@@ -87,8 +87,13 @@
    * loss of two watchers is more likely and saves little.
    */
   public Set<String> watchPeers() {
+    return hasManyDaemons() ? cellPeers : Set.of();
+  }
+
+  /** Returns whether the fleet has at least as many daemons as a cell. */
+  public boolean hasManyDaemons() {
     refreshDaemons();
-    return cellPeers.size() + 1 >= DAEMONS_PER_CELL ? cellPeers : Set.of();
+    return cellPeers.size() + 1 >= DAEMONS_PER_CELL;
   }
 
   /** Returns the ids of the other daemons in this daemon's cell. */
--- a/core/src/main/java/org/galenapost/core/dispatch/InstanceChooser.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/InstanceChooser.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
 import org.galenapost.core.instance.InstanceDirectory;
@@ -67,6 +68,7 @@
   private final NearEqualPick nearEqualPick;
   private final StartRamp startRamp;
   private final PromptSavings promptSavings;
+  private final BooleanSupplier hasManyDaemons;
 
   /**
    * Creates a chooser.
@@ -78,6 +80,8 @@
    * @param observations what is known of servers beyond their announcements
    * @param random breaks ties
    * @param promptSavings what servers need not read of a prompt
+   * @param hasManyDaemons whether so many daemons place calls that they would crowd onto the server
+   *     that has just become the least used one
    */
   public InstanceChooser(
       String dataCentre,
@@ -85,7 +89,8 @@
       Predicate<ServerInstance> isOwnCell,
       ServerObservations observations,
       RandomSource random,
-      PromptSavings promptSavings) {
+      PromptSavings promptSavings,
+      BooleanSupplier hasManyDaemons) {
     this.dataCentre = dataCentre;
     this.directory = directory;
     this.isOwnCell = isOwnCell;
@@ -98,6 +103,7 @@
     this.nearEqualPick = new NearEqualPick(random);
     this.startRamp = new StartRamp(directory::sinceAppeared, random);
     this.promptSavings = promptSavings;
+    this.hasManyDaemons = hasManyDaemons;
   }
 
   /**
@@ -244,11 +250,11 @@
 
   private Optional<Choice> shortestWait(
       TargetService service, List<ServerInstance> instances, CallDemand demand) {
-    boolean isEngine = service.engineMemory().isPresent();
-    List<ServerInstance> candidates = isEngine ? startRamp.admitted(instances) : instances;
+    boolean mayHerd = service.engineMemory().isPresent() && hasManyDaemons.getAsBoolean();
+    List<ServerInstance> candidates = mayHerd ? startRamp.admitted(instances) : instances;
     List<PromptPreference.Estimate> estimates =
         candidates.stream().map(instance -> estimate(service, instance, demand)).toList();
-    return isEngine
+    return mayHerd
         ? PromptPreference.select(
             estimates, waits -> nearEqualPick.pick(waits, NEAR_EQUAL_ENGINES_MS))
         : PromptPreference.select(estimates, this::pickShortest);
--- a/core/src/test/java/org/galenapost/core/dispatch/HeldPromptChoiceTest.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/HeldPromptChoiceTest.java
@@ -51,7 +51,8 @@
           server -> true,
           new ServerObservations(useTracker, speeds, health, pauses, brittle::contains),
           random::nextDouble,
-          new HeldPromptSavings(held));
+          new HeldPromptSavings(held),
+          () -> true);
   private final ServerInstance other = add("e1", "v1");
   private final ServerInstance holder = add("e2", "v1");
   private long revision;
--- a/core/src/test/java/org/galenapost/core/dispatch/InstanceChooserTest.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/InstanceChooserTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Predicate;
@@ -21,6 +22,7 @@
 import org.galenapost.core.route.TargetService;
 import org.galenapost.core.testing.FakeNetwork;
 import org.galenapost.core.testing.VirtualTime;
+import org.galenapost.core.time.RandomSource;
 import org.junit.jupiter.api.Test;
 
 class InstanceChooserTest {
@@ -38,14 +40,7 @@
   private final Set<InstanceKey> brittle = new HashSet<>();
   private final ServerSpeeds speeds = new ServerSpeeds(new SilentBus(), time, time);
   private final InstanceDirectory directory = newDirectory();
-  private final InstanceChooser chooser =
-      new InstanceChooser(
-          "dc1",
-          directory,
-          server -> ownCell.test(server),
-          new ServerObservations(useTracker, speeds, health, pauses, brittle::contains),
-          () -> 0.5,
-          PromptSavings.NONE);
+  private final InstanceChooser chooser = newChooser(() -> 0.5, true);
   private long revision;
 
   @Test
@@ -73,6 +68,41 @@
     assertThat(choose(ENGINES, DEMAND)).contains(slow);
   }
 
+  /** Guards against a random choice in fleets too small for daemons to crowd onto one engine. */
+  @Test
+  void choosesTheLeastUsedEngineUnlessManyDaemonsWould() {
+    for (int id = 0; id < 9; id++) {
+      useTracker.reserve(add("e" + id, "pool", "dc1").key(), new ServerUse(1 + id, 0, 700));
+    }
+    Random random = new Random(1);
+
+    assertThat(chosenBy(newChooser(random::nextDouble, false))).hasSize(1);
+    assertThat(chosenBy(newChooser(random::nextDouble, true))).hasSizeGreaterThan(1);
+  }
+
+  private static Set<ServerInstance> chosenBy(InstanceChooser chooser) {
+    Set<ServerInstance> chosen = new HashSet<>();
+    for (int call = 0; call < 50; call++) {
+      chosen.add(
+          chooser
+              .choose(ENGINES, DEMAND, ServerConstraint.excluding(Set.of()))
+              .orElseThrow()
+              .instance());
+    }
+    return chosen;
+  }
+
+  private InstanceChooser newChooser(RandomSource random, boolean hasManyDaemons) {
+    return new InstanceChooser(
+        "dc1",
+        directory,
+        server -> ownCell.test(server),
+        new ServerObservations(useTracker, speeds, health, pauses, brittle::contains),
+        random,
+        PromptSavings.NONE,
+        () -> hasManyDaemons);
+  }
+
   @Test
   void avoidsEnginesWhoseMemoryIsFull() {
     ServerInstance full = add("e1", "pool", "dc1");
--- a/core/src/test/java/org/galenapost/core/dispatch/PlacementModel.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/PlacementModel.java
@@ -198,7 +198,8 @@
                   new RequestedPauses(time),
                   server -> false),
               random::nextDouble,
-              PromptSavings.NONE);
+              PromptSavings.NONE,
+              () -> true);
     }
 
     void call(CallDemand demand) {
--- a/core/src/test/java/org/galenapost/core/dispatch/ReturningSessionsTest.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/ReturningSessionsTest.java
@@ -221,7 +221,8 @@
                   new RequestedPauses(time),
                   server -> false),
               jitter::nextDouble,
-              prefersHeldPrompts ? new HeldPromptSavings(held) : PromptSavings.NONE);
+              prefersHeldPrompts ? new HeldPromptSavings(held) : PromptSavings.NONE,
+              () -> true);
       return daemon;
     }
 
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/ServerStateWiring.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/ServerStateWiring.java
@@ -90,7 +90,8 @@
             cells::contains,
             new ServerObservations(useTracker, speeds, health, pauses, brittleServers::isBrittle),
             random,
-            prefersHeldPrompts ? new HeldPromptSavings(heldPrompts) : PromptSavings.NONE);
+            prefersHeldPrompts ? new HeldPromptSavings(heldPrompts) : PromptSavings.NONE,
+            cells::hasManyDaemons);
     if (prefersHeldPrompts) {
       health.onLoss(promptsExchange::onLost);
     }
