Fill in the bounds of roll-outs in the rig of the review

The settings template names the bounds of roll-outs since they were added, and the rig left their placeholders in the settings file, so no gateway of the five cases started. The platform fills in nothing where a deployment has no such bounds; the rig now does the same.

--- a/review/src/Rig.java
+++ b/review/src/Rig.java
@@ -625,6 +625,10 @@
       values.put("{{bounds.budget_ratio}}", "0.8");
       values.put("{{bounds.budget_window_s}}", "10");
       values.put("{{bounds.budget_extra}}", "150");
+      // Absent where the deployment has no roll-outs; the platform then fills in nothing.
+      values.put("{{bounds.exposure_share}}", "");
+      values.put("{{bounds.exposure_slack}}", "");
+      values.put("{{bounds.rollback_ms}}", "");
       for (Map.Entry<String, String> value : values.entrySet()) {
         text = text.replace(value.getKey(), value.getValue());
       }
