Play more floods of odd messages against gateway processes

Cause: the crowds of GatewayMemoryTest left out complete heads whose calls wait, lists of thousands of prompt parts, long ids, lines sent one at a time, small pipelined requests, callers that come back at once, chunk lines, chunks and trailers of servers, heads of the store, and all kinds at once. Change: these twelve cases, with the crowd and the bounds of the earlier ones (200 connections, 200 MB of resident memory, 500 descriptors, 48 MB of heap). The process and the checks are a fixture of their own, and processes can be started with a limit of descriptors. The ordinary request after the crowd waits 3 s for its answer instead of 10 s, with as many attempts.

--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakDaemon.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakDaemon.java
@@ -53,7 +53,7 @@
   private final Path folder;
   private final Path settingsFile;
   private final Ports ports;
-  private final List<String> jvmOptions;
+  private final ProcessOptions options;
   private final AtomicBoolean isRestarting = new AtomicBoolean();
   private volatile ManagedProcess process;
   private volatile boolean isStopRequested;
@@ -81,10 +81,10 @@
 
   SoakDaemon(
       String id, String dataCentre, Path folder, Ports ports, List<Ports> allPorts, int storePort) {
-    this(id, dataCentre, folder, ports, allPorts, storePort, List.of());
+    this(id, dataCentre, folder, ports, allPorts, storePort, ProcessOptions.NONE);
   }
 
-  /** Creates a daemon whose process runs with further options of the JVM. */
+  /** Creates a daemon whose process runs with further options and limits. */
   SoakDaemon(
       String id,
       String dataCentre,
@@ -92,8 +92,8 @@
       Ports ports,
       List<Ports> allPorts,
       int storePort,
-      List<String> jvmOptions) {
-    this.jvmOptions = List.copyOf(jvmOptions);
+      ProcessOptions options) {
+    this.options = options;
     this.id = id;
     this.folder = folder;
     this.ports = ports;
@@ -144,10 +144,10 @@
     isStopRequested = false;
     List<String> command =
         JavaCommand.withLog(
-            jvmOptions,
+            options.jvmOptions(),
             PlatformGateway.class.getName(),
             List.of("--settings", settingsFile.toString()));
-    process = ManagedProcess.start(id, command, folder.resolve(id + ".log"));
+    process = ManagedProcess.start(id, options.limit(command), folder.resolve(id + ".log"));
   }
 
   /** Waits until the daemon reports ready and returns whether it did so before the timeout. */
--- a/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFleet.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/soak/SoakFleet.java
@@ -37,11 +37,11 @@
 
   /** Starts the store, the servers and all links, but not the daemons. */
   SoakFleet(Path folder, int daemonCount) {
-    this(folder, daemonCount, List.of());
+    this(folder, daemonCount, ProcessOptions.NONE);
   }
 
-  /** Starts the store, the servers and all links; the daemons run with further JVM options. */
-  SoakFleet(Path folder, int daemonCount, List<String> jvmOptions) {
+  /** Starts the store, the servers and all links; the daemons run with further options. */
+  SoakFleet(Path folder, int daemonCount, ProcessOptions options) {
     store.start();
     for (String service :
         List.of(StoreContentWriter.STREAM_SERVICE, StoreContentWriter.UNARY_SERVICE)) {
@@ -60,7 +60,7 @@
       LinkStandin storeLink = link(storeLinks, storeEndpoint.port());
       daemons.add(
           new SoakDaemon(
-              "d" + i, dataCentre(i), folder, ports.get(i), ports, storeLink.port(), jvmOptions));
+              "d" + i, dataCentre(i), folder, ports.get(i), ports, storeLink.port(), options));
       link(callerLinks, ports.get(i).caller());
     }
   }
--- /dev/null
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/CrowdedGateway.java
@@ -0,0 +1,168 @@
+package org.galenapost.scenarios.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Stream;
+import org.galenapost.scenarios.process.ManagedProcess;
+import org.galenapost.standins.gateway.RawHttpClient;
+import org.galenapost.standins.gateway.StoreContentWriter;
+
+/**
+ * A gateway process with little memory, a crowd of callers that do not behave, and the checks that
+ * hold whatever the crowd does.
+ */
+final class CrowdedGateway implements AutoCloseable {
+
+  /** Options of the deployment, with a smaller heap and less direct memory. */
+  static final ProcessOptions SMALL_PROCESS =
+      ProcessOptions.ofJvm(
+          List.of(
+              "-Xmx48m",
+              "-Xss256k",
+              "-XX:MaxNewSize=12m",
+              "-XX:MaxDirectMemorySize=16m",
+              "-XX:ReservedCodeCacheSize=24m",
+              "-XX:+ExitOnOutOfMemoryError",
+              "-Dio.netty.allocator.type=unpooled"));
+
+  static final String KEY = SoakFaults.KEYS.get(0);
+  static final int DEADLINE_MS = 3_000;
+  static final Duration SETTLE_TIME = Duration.ofMillis(500);
+
+  private static final int MAX_RESIDENT_KB = 200 * 1024;
+  private static final int MAX_DESCRIPTORS = 500;
+  private static final int MAX_HEAD_BYTES = 16_384;
+  private static final int ANSWER_ATTEMPTS = 40;
+  private static final Duration ATTEMPT_PAUSE = Duration.ofMillis(250);
+
+  private final SoakFleet fleet;
+  private final SoakDaemon daemon;
+  private final HeldConnections crowd = new HeldConnections();
+
+  CrowdedGateway(Path folder, ProcessOptions options) {
+    fleet = new SoakFleet(folder, 1, options);
+    fleet.content().setLimit("max_header_bytes", MAX_HEAD_BYTES);
+    fleet.content().setLimit("max_body_bytes", 4_194_304);
+    fleet.content().setLimit("header_timeout_ms", 5_000);
+    fleet.content().setLimit("idle_timeout_ms", 15_000);
+    fleet.writeConfig(KEY);
+    fleet.startDaemons();
+    daemon = fleet.daemons().get(0);
+  }
+
+  SoakFleet fleet() {
+    return fleet;
+  }
+
+  SoakDaemon daemon() {
+    return daemon;
+  }
+
+  HeldConnections crowd() {
+    return crowd;
+  }
+
+  int callerPort() {
+    return daemon.callerPort();
+  }
+
+  /** Replaces the servers of a service by one at a port of the loopback address. */
+  void replaceServers(String service, int... ports) {
+    fleet.servers().stream()
+        .map(server -> server.currentInstance().instanceId())
+        .filter(id -> id.startsWith(service))
+        .forEach(fleet.content()::deregisterServer);
+    for (int port : ports) {
+      fleet
+          .content()
+          .registerServer("odd-" + port, "127.0.0.1:" + port, service, "z1", "ready", "v1");
+    }
+    ManagedProcess.pause(SETTLE_TIME.multipliedBy(2));
+  }
+
+  /** Checks that the process lives, stays within its bounds and serves an ordinary caller. */
+  void assertSurvival() throws IOException {
+    assertSurvival(MAX_DESCRIPTORS);
+  }
+
+  void assertSurvival(int maxDescriptors) throws IOException {
+    crowd.awaitSent();
+    ManagedProcess.pause(SETTLE_TIME);
+    assertThat(daemon.hasExitedUnexpectedly()).as("the process exited").isFalse();
+    assertThat(peakResidentKb()).as("peak resident memory in KB").isLessThan(MAX_RESIDENT_KB);
+    assertThat(descriptorCount()).as("open descriptors").isLessThan(maxDescriptors);
+    crowd.close();
+    boolean isAnswered = isOrdinaryRequestAnswered();
+    assertThat(daemon.hasExitedUnexpectedly()).as("the process exited").isFalse();
+    assertThat(isAnswered).as("an ordinary request is answered").isTrue();
+  }
+
+  /** Checks that an ordinary caller gets an answer while the crowd is there. */
+  void assertServesAmidCrowd() {
+    crowd.awaitSent();
+    ManagedProcess.pause(SETTLE_TIME);
+    boolean isAnswered = isOrdinaryRequestAnswered();
+    assertThat(daemon.hasExitedUnexpectedly()).as("the process exited").isFalse();
+    assertThat(isAnswered).as("an ordinary request is answered amid the crowd").isTrue();
+  }
+
+  private long peakResidentKb() throws IOException {
+    try (Stream<String> lines = Files.lines(Path.of("/proc/" + daemon.pid() + "/status"))) {
+      return lines
+          .filter(line -> line.startsWith("VmHWM:"))
+          .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
+          .findFirst()
+          .orElseThrow();
+    }
+  }
+
+  private long descriptorCount() throws IOException {
+    try (Stream<Path> descriptors = Files.list(Path.of("/proc/" + daemon.pid() + "/fd"))) {
+      return descriptors.count();
+    }
+  }
+
+  private boolean isRunning() {
+    return !daemon.hasExitedUnexpectedly();
+  }
+
+  private boolean isOrdinaryRequestAnswered() {
+    for (int attempt = 0; attempt < ANSWER_ATTEMPTS && isRunning(); attempt++) {
+      try (RawHttpClient caller = new RawHttpClient(daemon.callerPort())) {
+        caller.setReadTimeout(Duration.ofMillis(DEADLINE_MS));
+        String request =
+            StoreContentWriter.request("GET", "/read/1", "o" + attempt, KEY, DEADLINE_MS, "");
+        if (caller.send(request).readResponse().status() == 200) {
+          return true;
+        }
+      } catch (IOException e) {
+        // The daemon may be busy closing connections.
+        ManagedProcess.pause(ATTEMPT_PAUSE);
+        continue;
+      }
+      ManagedProcess.pause(ATTEMPT_PAUSE);
+    }
+    return false;
+  }
+
+  static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.ISO_8859_1);
+  }
+
+  static byte[] join(byte[] first, byte[] second) {
+    return ByteBuffer.allocate(first.length + second.length).put(first).put(second).array();
+  }
+
+  @Override
+  public void close() {
+    crowd.close();
+    fleet.close();
+  }
+}
