Answer pipelined requests of operators and probes one at a time

Callers saw: a gateway process that exited, with all calls on it. A client of the readiness or the operator port that pipelines requests and reads no answers made the daemon answer all of them, and the answers waited in its memory; a page of metrics takes thousands of times as much as its request.

Cause: both ports answered each request when it was decoded, whatever still waited to be sent, so neither the number of answers nor their bytes were bounded. Heads give up their room when a response is encoded, so that the budget of heads did not see them either.

The operator port of the completion daemon had the same fault and gets the same handler; its own chain of responses is needless with it.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayListeners.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayListeners.java
@@ -70,6 +70,7 @@
         settings.operator().address().toSocketAddress(),
         http.connectionLimit()
             .then(http)
+            .then(HttpPipeline.oneRequestAtATime())
             .then(OperatorPipeline.serving(routes, settings.operator().token())));
   }
 
@@ -81,6 +82,7 @@
         settings.readiness().address().toSocketAddress(),
         http.connectionLimit()
             .then(http)
+            .then(HttpPipeline.oneRequestAtATime())
             .then(pipeline -> pipeline.addLast("ready", new ReadinessHandler(state, path))));
   }
 
--- a/daemon/src/main/java/org/galenapost/daemon/http/HttpPipeline.java
+++ b/daemon/src/main/java/org/galenapost/daemon/http/HttpPipeline.java
@@ -48,6 +48,14 @@
     return pipeline -> pipeline.addLast("limiter", limiter);
   }
 
+  /**
+   * Returns the set-up that passes on one request of a connection at a time. It must follow the one
+   * of this pipeline.
+   */
+  public static PipelineSetup oneRequestAtATime() {
+    return pipeline -> pipeline.addLast("sequencer", new RequestSequencer());
+  }
+
   @Override
   public void setUp(ChannelPipeline pipeline) {
     pipeline.addLast(CODEC_NAME, new StrictServerCodec(decoderConfig(), account(pipeline)));
--- a/daemon/src/main/java/org/galenapost/daemon/operator/OperatorConnection.java
+++ b/daemon/src/main/java/org/galenapost/daemon/operator/OperatorConnection.java
@@ -24,17 +24,13 @@
 import org.galenapost.daemon.http.ConnectionFault;
 import org.galenapost.daemon.log.EventLog;
 
-/**
- * Serves one operator's connection. Pipelined requests run concurrently. Each response waits for
- * the previous one, so that responses keep the order of the requests.
- */
+/** Serves one operator's connection, whose requests come one at a time. */
 final class OperatorConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
 
   private static final EventLog LOG = EventLog.of(OperatorConnection.class);
 
   private final OperatorRoutes routes;
   private final String token;
-  private CompletionStage<Void> lastResponse = CompletableFuture.completedFuture(null);
 
   OperatorConnection(OperatorRoutes routes, String token) {
     this.routes = routes;
@@ -50,9 +46,7 @@
             ? CompletableFuture.completedFuture(
                 OperatorResponse.badRequest("The request is not well-formed HTTP/1.1."))
             : handleSafely(request);
-    lastResponse =
-        lastResponse.thenCombine(
-            pending, (previous, response) -> write(context, response, isKeepAlive));
+    pending.thenAccept(response -> write(context, response, isKeepAlive));
   }
 
   private CompletionStage<OperatorResponse> handleSafely(FullHttpRequest request) {
@@ -106,7 +100,7 @@
     return new OperatorRequest(route.pathParameters(), parameters, body);
   }
 
-  private static Void write(
+  private static void write(
       ChannelHandlerContext context, OperatorResponse response, boolean isKeepAlive) {
     byte[] body = response.body().getBytes(StandardCharsets.UTF_8);
     DefaultFullHttpResponse message =
@@ -122,7 +116,6 @@
       message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
       context.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE);
     }
-    return null;
   }
 
   @Override
--- a/daemon/src/main/java/org/galenapost/daemon/wiring/OperatorWiring.java
+++ b/daemon/src/main/java/org/galenapost/daemon/wiring/OperatorWiring.java
@@ -58,6 +58,7 @@
         WRITE_BUFFER_BYTES,
         http.connectionLimit()
             .then(http)
+            .then(HttpPipeline.oneRequestAtATime())
             .then(OperatorPipeline.serving(context.routes(), settings.token())));
   }
 
--- /dev/null
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayUnreadAnswersTest.java
@@ -0,0 +1,139 @@
+package org.galenapost.scenarios.soak;
+
+import static org.galenapost.scenarios.soak.CrowdedGateway.bytes;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.galenapost.standins.gateway.StoreContentWriter;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Isolated;
+
+/**
+ * Guards against callers that leave their answers unread, so that the answers pile up in the
+ * process. Each case runs against a process with a small heap.
+ */
+@Isolated("each case fills the memory of its own process")
+class GatewayUnreadAnswersTest {
+
+  private static final int ADMIN_CALLERS = 8;
+  private static final int CALLERS = 100;
+  private static final int STREAM_CALLERS = 200;
+  private static final int STREAM_SERVERS = 4;
+  private static final int ANSWER_BYTES = 1_000_000;
+  private static final int EVENT_BYTES = 1_000;
+  private static final int PIPELINED_REQUESTS = 100;
+  private static final String HEAD =
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: s\r\nX-Response-Seal: seal-of-s\r\n";
+
+  @TempDir private Path folder;
+  private CrowdedGateway gateway;
+  private HeldConnections crowd;
+  private final List<OddServer> streamServers = new ArrayList<>();
+
+  @BeforeEach
+  void start() {
+    gateway = new CrowdedGateway(folder, CrowdedGateway.SMALL_PROCESS);
+    crowd = gateway.crowd();
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    gateway.close();
+    for (OddServer server : streamServers) {
+      server.close();
+    }
+  }
+
+  @Test
+  void survivesUnreadAnswersAtReadyPort() throws IOException {
+    byte[] requests = bytes("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n".repeat(PIPELINED_REQUESTS));
+    crowd.keepSending(gateway.daemon().ports().readiness(), ADMIN_CALLERS, requests);
+
+    gateway.assertSurvival();
+  }
+
+  @Test
+  void survivesUnreadAnswersAtOperatorPort() throws IOException {
+    byte[] requests = bytes("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n".repeat(PIPELINED_REQUESTS));
+    crowd.keepSending(gateway.daemon().ports().operator(), ADMIN_CALLERS, requests);
+
+    gateway.assertSurvival();
+  }
+
+  @Test
+  void survivesUnreadLongAnswers() throws IOException {
+    byte[] answer =
+        bytes(HEAD + "Content-Length: " + ANSWER_BYTES + "\r\n\r\n" + "x".repeat(ANSWER_BYTES));
+    try (OddServer server = new OddServer(output -> output.write(answer))) {
+      gateway.replaceServers(StoreContentWriter.STREAM_SERVICE, server.port());
+      crowd.openWithSmallWindow(gateway.callerPort(), CALLERS, streamRequest());
+
+      gateway.assertSurvival();
+    }
+  }
+
+  @Test
+  void servesOthersWhileLongAnswersAreUnread() throws IOException {
+    byte[] answer =
+        bytes(HEAD + "Content-Length: " + ANSWER_BYTES + "\r\n\r\n" + "x".repeat(ANSWER_BYTES));
+    try (OddServer server = new OddServer(output -> output.write(answer))) {
+      gateway.replaceServers(StoreContentWriter.STREAM_SERVICE, server.port());
+      crowd.openWithSmallWindow(gateway.callerPort(), CALLERS, streamRequest());
+
+      gateway.assertServesAmidCrowd();
+    }
+  }
+
+  @Test
+  void survivesUnreadStreams() throws IOException {
+    openUnreadStreams();
+
+    gateway.assertSurvival();
+  }
+
+  @Test
+  void servesOthersWhileStreamsAreUnread() throws IOException {
+    openUnreadStreams();
+
+    gateway.assertServesAmidCrowd();
+  }
+
+  private void openUnreadStreams() throws IOException {
+    int[] ports = new int[STREAM_SERVERS];
+    for (int i = 0; i < STREAM_SERVERS; i++) {
+      OddServer server = new OddServer(GatewayUnreadAnswersTest::streamWithoutEnd);
+      streamServers.add(server);
+      ports[i] = server.port();
+    }
+    gateway.replaceServers(StoreContentWriter.STREAM_SERVICE, ports);
+    crowd.openWithSmallWindow(gateway.callerPort(), STREAM_CALLERS, streamRequest());
+  }
+
+  private static void streamWithoutEnd(OutputStream output) throws IOException {
+    output.write(
+        bytes(HEAD + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    for (long id = 1; ; id++) {
+      String event = "id: " + id + "\ndata: " + "x".repeat(EVENT_BYTES) + "\n\n";
+      output.write(bytes(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n"));
+    }
+  }
+
+  private static byte[] streamRequest() {
+    return bytes(
+        StoreContentWriter.request(
+            "POST",
+            "/gen/1",
+            "s",
+            CrowdedGateway.KEY,
+            Duration.ofSeconds(20).toMillis(),
+            "p",
+            StoreContentWriter.STREAM_HEADER));
+  }
+}
