Bound the connections of daemons that are not authenticated

Callers saw: no connection to servers, store or callers could be opened, as connections to the peer port took all descriptors of the process.

Cause: the listener for daemons accepted any number of connections, each of which may take three seconds for its handshake.

Change: one sixteenth of the descriptors of the process, 256 on the users' hosts, may be taken by connections without a handshake. One beyond that takes the place of the one that has not authenticated for longest, since a daemon needs one round trip. Authenticated connections are not bounded. The shares of descriptors are in one class, which reads the limit of the process.

--- a/daemon/src/main/java/org/galenapost/daemon/peer/TcpPeerBus.java
+++ b/daemon/src/main/java/org/galenapost/daemon/peer/TcpPeerBus.java
@@ -25,6 +25,7 @@
 import java.util.function.Supplier;
 import org.galenapost.core.peer.PeerBus;
 import org.galenapost.core.peer.PeerMessage;
+import org.galenapost.daemon.net.DescriptorLimit;
 import org.galenapost.daemon.net.KeepAliveProbes;
 import org.galenapost.daemon.peer.HandshakeAuthenticator.Role;
 import org.galenapost.daemon.service.Service;
@@ -47,6 +48,7 @@
   private final PeerSettings settings;
   private final EventLoopGroup eventLoops;
   private final HandshakeAuthenticator authenticator;
+  private final PendingHandshakes handshakes;
   private final MessageDispatcher dispatcher = new MessageDispatcher();
   private final TrafficMeter traffic = new TrafficMeter();
   private final Map<String, PeerAddress> addresses = new ConcurrentHashMap<>();
@@ -58,6 +60,7 @@
 
   /** Creates a bus that initially knows the addresses of the seeds only. */
   public TcpPeerBus(String ownId, PeerSettings settings, EventLoopGroup eventLoops) {
+    this.handshakes = new PendingHandshakes(DescriptorLimit.ofProcess().maxHandshakes());
     this.ownId = ownId;
     this.settings = settings;
     this.eventLoops = eventLoops;
@@ -80,7 +83,7 @@
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(initializer(Role.LISTENER, channel -> peer -> {}))
+            .childHandler(initializer(Role.LISTENER, this::acceptAuthenticated))
             .bind(address)
             .awaitUninterruptibly();
     if (!bound.isSuccess()) {
@@ -198,6 +201,10 @@
     dispatcher.add(type, handler);
   }
 
+  private Consumer<Handshake.Challenge> acceptAuthenticated(Channel channel) {
+    return peer -> handshakes.remove(channel);
+  }
+
   private void onConnected(
       String daemonId, PeerLink link, Channel channel, Handshake.Challenge peer) {
     if (!peer.daemonId().equals(daemonId)) {
@@ -237,6 +244,9 @@
       @Override
       protected void initChannel(SocketChannel channel) {
         channels.add(channel);
+        if (role == Role.LISTENER) {
+          handshakes.add(channel);
+        }
         Session session = new Session();
         Consumer<Handshake.Challenge> recordPeer =
             peer -> {
