Let new connections take the place of idle ones

Callers saw: no answer at all while idle connections were held. Clients that open connections and send nothing took all descriptors of the process, so that it accepted nobody and reached neither servers nor the store; 64 of them at the readiness port kept out the balancer's probe, which takes the host out of use.

Cause: the limit of 2,500 caller connections was never in force, as the limiter was made anew for each connection and not added to its pipeline. At the other ports the limit closed the newest connection, which is the ordinary caller's in a flood.

Change: the gateway's listeners have slots. A connection beyond them takes the place of the one that has waited longest for a complete request head; requests in progress are not touched, and if all connections have one, the new one is closed. Callers have 2,500 slots (limits.max_connections), and at most half of the process's descriptors. The completion daemon keeps its limiter.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/ClassArchiveTraining.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/ClassArchiveTraining.java
@@ -23,6 +23,7 @@
 import org.galenapost.daemon.log.EventLog;
 import org.galenapost.daemon.settings.CallerSettings;
 import org.galenapost.daemon.settings.DaemonSettings;
+import org.galenapost.daemon.settings.GatewayLimits;
 import org.galenapost.daemon.settings.GatewaySettings;
 import org.galenapost.daemon.settings.GatewayTimings;
 import org.galenapost.daemon.settings.OperatorSettings;
@@ -117,6 +118,7 @@
             seedPorts.stream().map(port -> new SocketAddressSetting(IP, port)).toList()),
         new PlatformSettings(
             new SocketAddressSetting(IP, platformPort), CALL_TIMEOUT, CALL_TIMEOUT, true),
+        GatewayLimits.defaults(),
         new RepeatSettings(1, CALL_TIMEOUT, 1),
         new GatewayTimings(CALL_TIMEOUT, CALL_TIMEOUT, Duration.ZERO, Duration.ZERO),
         Optional.empty(),
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -50,11 +50,13 @@
 import org.galenapost.daemon.gateway.upstream.ServerAddresses;
 import org.galenapost.daemon.gateway.upstream.ServerConnectionPool;
 import org.galenapost.daemon.generation.EventLoopStallGuard;
+import org.galenapost.daemon.http.ConnectionSlots;
 import org.galenapost.daemon.http.HttpListener;
 import org.galenapost.daemon.lifecycle.DaemonState;
 import org.galenapost.daemon.lifecycle.DrainSequence;
 import org.galenapost.daemon.lifecycle.PendingWork;
 import org.galenapost.daemon.metrics.DaemonMetrics;
+import org.galenapost.daemon.net.DescriptorLimit;
 import org.galenapost.daemon.net.EventLoops;
 import org.galenapost.daemon.net.HeadBudget;
 import org.galenapost.daemon.peer.PeerAddress;
@@ -87,6 +89,7 @@
   private final Scheduler scheduler = new EventLoopScheduler(loop);
   private final DaemonMetrics metrics = new DaemonMetrics();
   private final PendingWork calls = new PendingWork();
+  private final DescriptorLimit descriptors = DescriptorLimit.ofProcess();
   private final HeadBudget heads =
       HeadBudget.ofHeap(Runtime.getRuntime().maxMemory(), new HeadRefusalLog(clock)::recordRefusal);
   private final List<Service> services = new ArrayList<>();
@@ -182,8 +185,9 @@
         () -> follower.isReady() ? routes.current() : Optional.empty();
     RequestValidator validator = new RequestValidator(format, routesInForce, state, tickets);
     CallerFrontend frontend =
-        new CallerFrontend(context, validator, routesInForce, state, calls, heads);
-    GatewayListeners listeners = new GatewayListeners(settings, eventLoops, state, metrics, heads);
+        new CallerFrontend(context, validator, routesInForce, state, calls, heads, callerSlots());
+    GatewayListeners listeners =
+        new GatewayListeners(settings, eventLoops, state, metrics, heads, descriptors);
     HttpListener caller = listeners.callers(frontend, callerSocket);
     callerListener = Optional.of(caller);
     HttpListener operator =
@@ -201,6 +205,12 @@
         services, state, drain, caller, readiness, operator, bus::ownAddress, bus::setSeeds);
   }
 
+  private ConnectionSlots callerSlots() {
+    return new ConnectionSlots(
+        Math.min(settings.limits().maxConnections(), descriptors.maxCallerConnections()),
+        () -> metrics.recordRefusedConnection("caller"));
+  }
+
   private ConfigurationFollower configurationFollower(
       ConfigurationState configuration,
       FleetCells cells,
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayListeners.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayListeners.java
@@ -5,12 +5,14 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.galenapost.daemon.gateway.front.CallerFrontend;
+import org.galenapost.daemon.http.ConnectionSlots;
 import org.galenapost.daemon.http.HttpListener;
 import org.galenapost.daemon.http.HttpPipeline;
 import org.galenapost.daemon.http.ListenerOptions;
 import org.galenapost.daemon.http.PipelineSetup;
 import org.galenapost.daemon.lifecycle.DaemonState;
 import org.galenapost.daemon.metrics.DaemonMetrics;
+import org.galenapost.daemon.net.DescriptorLimit;
 import org.galenapost.daemon.net.EventLoops;
 import org.galenapost.daemon.net.HeadBudget;
 import org.galenapost.daemon.operator.HealthRoutes;
@@ -32,14 +34,17 @@
   private final DaemonState state;
   private final DaemonMetrics metrics;
   private final HeadBudget heads;
+  private final DescriptorLimit descriptors;
 
   GatewayListeners(
       GatewaySettings settings,
       EventLoops eventLoops,
       DaemonState state,
       DaemonMetrics metrics,
-      HeadBudget heads) {
+      HeadBudget heads,
+      DescriptorLimit descriptors) {
     this.heads = heads;
+    this.descriptors = descriptors;
     this.settings = settings;
     this.eventLoops = eventLoops;
     this.state = state;
@@ -87,14 +92,17 @@
   }
 
   private HttpPipeline adminPipeline(String role) {
+    int maxConnections = Math.min(MAX_ADMIN_CONNECTIONS, descriptors.maxAdminConnections());
     ListenerOptions options =
         new ListenerOptions(
-            MAX_ADMIN_CONNECTIONS,
+            maxConnections,
             MAX_ADMIN_HEADER_BYTES,
             MAX_ADMIN_BODY_BYTES,
             ADMIN_TIMEOUT,
             ADMIN_TIMEOUT,
             ADMIN_TIMEOUT);
-    return new HttpPipeline(options, () -> metrics.recordRefusedConnection(role), () -> heads);
+    ConnectionSlots slots =
+        new ConnectionSlots(maxConnections, () -> metrics.recordRefusedConnection(role));
+    return new HttpPipeline(options, slots, () -> heads);
   }
 }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerFrontend.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerFrontend.java
@@ -19,6 +19,7 @@
 import org.galenapost.daemon.gateway.run.CallRun;
 import org.galenapost.daemon.gateway.run.GatewayContext;
 import org.galenapost.daemon.gateway.run.StreamTakeUp;
+import org.galenapost.daemon.http.ConnectionSlots;
 import org.galenapost.daemon.http.HeadTimer;
 import org.galenapost.daemon.http.HttpPipeline;
 import org.galenapost.daemon.http.ListenerOptions;
@@ -33,9 +34,6 @@
 
   private static final EventLog LOG = EventLog.of(CallerFrontend.class);
 
-  /** Leaves some file descriptors of the entry host for servers, daemons and files. */
-  private static final int MAX_CONNECTIONS = 2_500;
-
   /**
    * How long a caller may leave a response unread; the deadline of the call usually ends it
    * earlier.
@@ -49,6 +47,7 @@
   private final PendingWork calls;
   private final StreamTakeUp takeUps;
   private final HeadBudget heads;
+  private final ConnectionSlots slots;
   private final BodyBudget bodies = BodyBudget.ofHeap(Runtime.getRuntime().maxMemory());
   private final Set<CallerConnection> connections = new HashSet<>();
 
@@ -61,6 +60,7 @@
    * @param state the daemon's phase
    * @param calls tracks the calls in progress
    * @param heads the room of the heads of all messages
+   * @param slots bounds the open connections
    */
   public CallerFrontend(
       GatewayContext context,
@@ -68,8 +68,10 @@
       Supplier<Optional<RouteTable>> routes,
       DaemonState state,
       PendingWork calls,
-      HeadBudget heads) {
+      HeadBudget heads,
+      ConnectionSlots slots) {
     this.heads = heads;
+    this.slots = slots;
     this.context = context;
     this.validator = validator;
     this.routes = routes;
@@ -84,13 +86,14 @@
     Duration idleTimeout = Duration.ofMillis(limits.idleTimeoutMs());
     ListenerOptions options =
         new ListenerOptions(
-            MAX_CONNECTIONS,
+            Integer.MAX_VALUE,
             limits.maxHeaderBytes(),
             limits.maxBodyBytes(),
             idleTimeout,
             idleTimeout,
             SLOW_READER_TIMEOUT);
-    new HttpPipeline(options, () -> {}, () -> heads).setUp(pipeline);
+    HttpPipeline http = new HttpPipeline(options, slots, () -> heads);
+    http.connectionLimit().then(http).setUp(pipeline);
     HeadTimer.addTo(pipeline, HttpPipeline.CODEC_NAME, Duration.ofMillis(limits.headerTimeoutMs()));
     pipeline.addBefore(
         HttpPipeline.AGGREGATOR_NAME,
--- a/daemon/src/main/java/org/galenapost/daemon/http/HttpPipeline.java
+++ b/daemon/src/main/java/org/galenapost/daemon/http/HttpPipeline.java
@@ -1,7 +1,9 @@
 package org.galenapost.daemon.http;
 
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.util.Optional;
 import java.util.function.Supplier;
 import org.galenapost.daemon.net.HeadAccount;
 import org.galenapost.daemon.net.HeadBudget;
@@ -16,31 +18,35 @@
   public static final String AGGREGATOR_NAME = "aggregator";
 
   private final ListenerOptions options;
-  private final ConnectionLimiter limiter;
+  private final ChannelHandler limiter;
+  private final Optional<ConnectionSlots> slots;
   private final Supplier<HeadBudget> heads;
 
   /**
-   * Creates the pipeline set-up of one listener.
+   * Creates the pipeline set-up of one listener that closes each connection beyond the limit.
    *
    * @param options the limits of the listener
    * @param onConnectionRefused called for each connection that is closed because of the limit
    */
   public HttpPipeline(ListenerOptions options, Runnable onConnectionRefused) {
-    this(options, onConnectionRefused, HeadBudget::unbounded);
+    this.options = options;
+    this.slots = Optional.empty();
+    this.limiter = new ConnectionLimiter(options.maxConnections(), onConnectionRefused);
+    this.heads = HeadBudget::unbounded;
   }
 
   /**
    * Creates the pipeline set-up of one listener whose heads share a budget with others.
    *
-   * @param options the limits of the listener
-   * @param onConnectionRefused called for each connection that is closed because of the limit
+   * @param options the limits of the listener, of which the slots replace the one of connections
+   * @param slots bounds the open connections of the listener
    * @param heads returns the room of the heads of a connection, which is used on its event loop
    */
-  public HttpPipeline(
-      ListenerOptions options, Runnable onConnectionRefused, Supplier<HeadBudget> heads) {
+  public HttpPipeline(ListenerOptions options, ConnectionSlots slots, Supplier<HeadBudget> heads) {
     this.options = options;
+    this.slots = Optional.of(slots);
+    this.limiter = slots;
     this.heads = heads;
-    this.limiter = new ConnectionLimiter(options.maxConnections(), onConnectionRefused);
   }
 
   /** Returns the set-up that closes connections beyond the limit. It must precede TLS. */
@@ -60,7 +66,7 @@
   public void setUp(ChannelPipeline pipeline) {
     pipeline.addLast(CODEC_NAME, new StrictServerCodec(decoderConfig(), account(pipeline)));
     pipeline.addLast("undelimited-answer-guard", new UndelimitedAnswerGuard());
-    pipeline.addLast("slow-caller-guard", new SlowCallerGuard(options));
+    pipeline.addLast("slow-caller-guard", new SlowCallerGuard(options, slots));
     pipeline.addLast(AGGREGATOR_NAME, new RequestAggregator(options.maxBodyBytes()));
   }
 
--- a/daemon/src/main/java/org/galenapost/daemon/http/SlowCallerGuard.java
+++ b/daemon/src/main/java/org/galenapost/daemon/http/SlowCallerGuard.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -21,14 +22,22 @@
 final class SlowCallerGuard extends ChannelDuplexHandler {
 
   private final ListenerOptions options;
+  private final Optional<ConnectionSlots> slots;
   private Future<?> requestTimer;
   private Future<?> slowReaderTimer;
   private Future<?> unsentResponseTimer;
   private int unansweredRequests;
   private boolean isReadingRequest;
 
-  SlowCallerGuard(ListenerOptions options) {
+  /**
+   * Creates the guard of one connection.
+   *
+   * @param options the timeouts
+   * @param slots told when the connection waits for a request, if the listener has slots
+   */
+  SlowCallerGuard(ListenerOptions options, Optional<ConnectionSlots> slots) {
     this.options = options;
+    this.slots = slots;
   }
 
   @Override
@@ -133,11 +142,13 @@
   }
 
   private void startIdleTimer(ChannelHandlerContext context) {
+    slots.ifPresent(taken -> taken.onWaiting(context.channel()));
     cancel(requestTimer);
     requestTimer = schedule(context, options.idleTimeout(), context::close);
   }
 
   private void startBodyTimer(ChannelHandlerContext context) {
+    slots.ifPresent(taken -> taken.onRequest(context.channel()));
     cancel(requestTimer);
     requestTimer =
         schedule(
--- a/daemon/src/main/java/org/galenapost/daemon/settings/GatewaySettings.java
+++ b/daemon/src/main/java/org/galenapost/daemon/settings/GatewaySettings.java
@@ -16,6 +16,7 @@
  * @param operator the listener for operators
  * @param peer the listener for other daemons
  * @param platform the platform's object API
+ * @param limits the limits for all callers together
  * @param repeats the limits on retries
  * @param timings the timeouts and drain times
  * @param rollouts the bounds of roll-outs; without them the daemon takes part in none
@@ -28,6 +29,7 @@
     OperatorSettings operator,
     PeerSettings peer,
     PlatformSettings platform,
+    GatewayLimits limits,
     RepeatSettings repeats,
     GatewayTimings timings,
     Optional<RolloutSettings> rollouts,
@@ -58,6 +60,7 @@
             root.section("operator", OperatorSettings::bind),
             root.section("peer", PeerSettings::bind),
             root.section("platform", PlatformSettings::bindForGateway),
+            root.section("limits", GatewayLimits::bind),
             root.section("repeats", RepeatSettings::bind),
             root.section("timings", GatewayTimings::bind),
             root.section("rollouts", RolloutSection::bind),
--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayConnectionsTest.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayConnectionsTest.java
@@ -1,8 +1,12 @@
 package org.galenapost.scenarios.soak;
 
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.galenapost.scenarios.soak.CrowdedGateway.bytes;
+
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import org.galenapost.scenarios.process.ManagedProcess;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -22,6 +26,7 @@
   private static final int MAX_DESCRIPTORS = 400;
 
   private static final int CONNECTIONS = 600;
+  private static final int ADMIN_CONNECTIONS = 80;
   private static final byte[] NOTHING = new byte[0];
 
   @TempDir private Path folder;
@@ -41,10 +46,42 @@
     gateway.close();
   }
 
+  @Test
+  void leavesDescriptorsFreeUnderIdleConnections() throws IOException {
+    crowd.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, NOTHING);
+
+    gateway.assertSurvival(MAX_DESCRIPTORS);
+  }
+
+  @Test
+  void servesOthersWhileIdleConnectionsAreHeld() {
+    crowd.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, NOTHING);
+
+    gateway.assertServesAmidCrowd();
+  }
+
+  @Test
+  void servesOthersWhileCallersComeBackAtOnce() {
+    byte[] head = bytes("GET /read/1 HTTP/1.1\r\na:\r\n");
+    crowd.keepReturning(gateway.callerPort(), CONNECTIONS, () -> head);
+
+    gateway.assertServesAmidCrowd();
+  }
+
   @Test
   void leavesDescriptorsFreeUnderConnectionsToPeerPort() throws IOException {
     crowd.open(gateway.daemon().ports().peer(), CONNECTIONS, Duration.ZERO, NOTHING);
 
     gateway.assertSurvival(MAX_DESCRIPTORS);
   }
+
+  /** A balancer that gets no answer takes the host out of use. */
+  @Test
+  void answersReadinessProbeWhileConnectionsAreHeld() {
+    crowd.open(gateway.daemon().ports().readiness(), ADMIN_CONNECTIONS, Duration.ZERO, NOTHING);
+    crowd.awaitSent();
+    ManagedProcess.pause(CrowdedGateway.SETTLE_TIME);
+
+    assertThat(gateway.daemon().isReady()).as("the readiness probe is answered").isTrue();
+  }
 }
