Count unfinished chunk lines of servers as heads

Each connection to a server may hold 64 KiB of a line that states the size of a chunk and never ends, and the budget of heads did not see it, as it counted a response only until its head was complete.

Change: what is left undecoded after a read inside a body counts like an incomplete head, in the order in which it came, until it is decoded. A body without such bytes is not among the incomplete messages, so that a sound stream cannot be dropped for having been in the middle of a chunk's line.

--- a/daemon/src/main/java/org/galenapost/daemon/net/HeadAccount.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/HeadAccount.java
@@ -33,6 +33,7 @@
   private long currentBytes;
   private long undecodedBytes;
   private boolean isInMessage;
+  private boolean hasLines;
   private boolean isAnswered;
   private boolean isClosed;
 
@@ -87,6 +88,20 @@
     }
   }
 
+  /**
+   * Sets the number of bytes after the head of a message that are read but not decoded, such as a
+   * long line that states the size of a chunk. They give up their room like an incomplete head.
+   */
+  public void setUndecodedBodyBytes(int bytes) {
+    if (bytes > 0) {
+      beginMessage();
+    }
+    setUndecodedBytes(bytes);
+    if (bytes == 0 && isInMessage && !hasLines) {
+      drop();
+    }
+  }
+
   /** Ends the message that is being read; it is held until {@link #endCall}. */
   public void completeMessage() {
     if (!isInMessage) {
@@ -142,6 +157,7 @@
     currentBytes = 0;
     undecodedBytes = 0;
     isInMessage = false;
+    hasLines = false;
     budget.removeIncomplete(this);
   }
 
@@ -152,6 +168,7 @@
       headers.clear();
       throw new NoRoomForHeadException();
     }
+    hasLines = true;
   }
 
   /** Creates headers that charge each line when the decoder adds it. */
--- a/daemon/src/main/java/org/galenapost/daemon/net/StrictClientCodec.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/StrictClientCodec.java
@@ -88,7 +88,18 @@
       }
       super.decode(context, buffer, out);
       out.subList(sizeBefore, out.size()).forEach(this::onDecoded);
-      heads.setUndecodedBytes(buffer.readableBytes());
+      if (!isHeadComplete) {
+        heads.setUndecodedBytes(buffer.readableBytes());
+      }
+    }
+
+    /** Counts what is left of a body only here, as the bytes before hold chunks to decode. */
+    @Override
+    protected void callDecode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) {
+      super.callDecode(context, buffer, out);
+      if (isHeadComplete) {
+        heads.setUndecodedBodyBytes(buffer.readableBytes());
+      }
     }
 
     private void onDecoded(Object message) {
--- a/daemon/src/test/java/org/galenapost/daemon/net/HeadBudgetTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/net/HeadBudgetTest.java
@@ -119,6 +119,34 @@
     assertThat(evicted).isEmpty();
   }
 
+  /** Guards against lines of chunk sizes that are long and never end. */
+  @Test
+  void countsUnfinishedLineInsideBodyUntilItIsDecoded() {
+    HeadAccount first = account("first");
+    first.setUndecodedBodyBytes(1_000);
+
+    assertThat(budget.heldBytes())
+        .isEqualTo(HeadAccount.MESSAGE_BYTES + 1_000 * HeadAccount.COPIES_OF_BYTE);
+    first.setUndecodedBodyBytes(0);
+    assertThat(budget.heldBytes()).isZero();
+  }
+
+  /** Guards against a sound stream that counts as incomplete while it goes on. */
+  @Test
+  void bodyWithoutUndecodedBytesIsNotEvicted() {
+    HeadAccount stream = account("stream");
+    stream.setUndecodedBodyBytes(10);
+    stream.setUndecodedBodyBytes(0);
+    HeadAccount first = account("first");
+    first.beginMessage();
+    first.setUndecodedBytes(2_000);
+    HeadAccount second = account("second");
+    second.beginMessage();
+    second.setUndecodedBytes(2_000);
+
+    assertThat(evicted).containsExactly("first");
+  }
+
   private static EmbeddedChannel channel(HeadAccount account) {
     account.beginMessage();
     return new EmbeddedChannel(
--- a/daemon/src/test/java/org/galenapost/daemon/net/StrictClientCodecTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/net/StrictClientCodecTest.java
@@ -66,6 +66,27 @@
         .containsExactly(200);
   }
 
+  /** Guards against lines that state the sizes of chunks and never end. */
+  @Test
+  void countsUnfinishedChunkLineAgainstTheRoomOfHeads() {
+    HeadBudget budget = new HeadBudget(1_000_000, () -> {});
+    EmbeddedChannel counted =
+        new EmbeddedChannel(
+            new StrictClientCodec(
+                new HttpDecoderConfig().setMaxInitialLineLength(65_536),
+                new HeadAccount(budget, () -> {})));
+    counted.writeOutbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
+    String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    counted.writeInbound(Unpooled.copiedBuffer(head, StandardCharsets.US_ASCII));
+    long headBytes = budget.heldBytes();
+
+    String line = "1;" + "e".repeat(60_000);
+    counted.writeInbound(Unpooled.copiedBuffer(line, StandardCharsets.US_ASCII));
+
+    assertThat(budget.heldBytes() - headBytes).isGreaterThan(60_000);
+    counted.finishAndReleaseAll();
+  }
+
   @Test
   void closesConnectionThatReceivesBytesBeforeTheFirstRequest() {
     receive("H");
