Keep room for ordinary heads beside large ones

Callers saw: 503 head-memory-full for every request while a few large complete heads wait for their calls to end, up to the route's timeout. Twenty heads of 4,000 lines fill the room of a heap of 120 MB, and complete heads are never dropped, since their requests may have run.

Cause: the room of heads was given to whoever came first, whatever one head takes.

Change: heads of more than 32 KiB of memory take at most three quarters of the room. An ordinary request of twenty lines takes 8 KB, so that the rest admits 700 of them on that heap. A single head inside the limits is still admitted on any heap (HeadBudgetTest).

--- a/daemon/src/main/java/org/galenapost/daemon/net/HeadAccount.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/HeadAccount.java
@@ -141,6 +141,11 @@
     isClosed = true;
   }
 
+  /** Returns the memory of the message that is being read. */
+  long currentBytes() {
+    return currentBytes;
+  }
+
   void evict() {
     drop();
     onEvicted.run();
--- a/daemon/src/main/java/org/galenapost/daemon/net/HeadBudget.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/HeadBudget.java
@@ -18,7 +18,14 @@
   /** Admits one head of 16 KiB with lines of four bytes, which costs 1.1 MB, on any heap. */
   private static final long MIN_BYTES = 2 * 1024 * 1024;
 
+  /** Ordinary heads cost less. Callers of the users' services send some twenty lines. */
+  private static final long MAX_ORDINARY_BYTES = 32 * 1024;
+
+  /** What larger heads leave of the room is for ordinary ones. */
+  private static final double LARGE_HEADS_SHARE = 0.75;
+
   private final long maxBytes;
+  private final long maxBytesWithLargeHead;
   private final Set<HeadAccount> incomplete = new LinkedHashSet<>();
   private final Runnable onRefusal;
   private long heldBytes;
@@ -33,6 +40,7 @@
    */
   public HeadBudget(long maxBytes, Runnable onRefusal) {
     this.maxBytes = maxBytes;
+    this.maxBytesWithLargeHead = (long) (maxBytes * LARGE_HEADS_SHARE);
     this.onRefusal = onRefusal;
   }
 
@@ -48,12 +56,15 @@
 
   /**
    * Reserves memory for an incomplete request, at the expense of requests that have been incomplete
-   * for longer if necessary.
+   * for longer if necessary. A large head leaves a part of the room free, so that ordinary requests
+   * are served while many large ones wait for their calls to end.
    *
    * @return whether there is room; false if the request itself has been incomplete for longest
    */
   boolean tryReserve(HeadAccount account, long bytes) {
-    while (heldBytes + bytes > maxBytes) {
+    boolean isOrdinary = account.currentBytes() + bytes <= MAX_ORDINARY_BYTES;
+    long limitBytes = isOrdinary ? maxBytes : maxBytesWithLargeHead;
+    while (heldBytes + bytes > limitBytes) {
       if (incomplete.isEmpty()) {
         return recordRefusal();
       }
--- a/daemon/src/test/java/org/galenapost/daemon/net/HeadBudgetTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/net/HeadBudgetTest.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Heads of several connections that need more room than there is. */
@@ -119,6 +120,32 @@
     assertThat(evicted).isEmpty();
   }
 
+  /** Guards against large heads whose calls wait, so that ordinary callers find no room. */
+  @Test
+  void largeHeadsLeaveRoomForOrdinaryOnes() {
+    HeadBudget room = new HeadBudget(400_000, () -> {});
+    long admittedLarge = admitted(room, 20, 150);
+    long admittedOrdinary = admitted(room, 10, 20);
+
+    assertThat(admittedLarge).isBetween(5L, 19L);
+    assertThat(admittedOrdinary).isEqualTo(10);
+  }
+
+  /** Reads complete requests and returns how many found room. */
+  private static long admitted(HeadBudget room, int requests, int lines) {
+    return IntStream.range(0, requests)
+        .filter(
+            i -> {
+              HeadAccount account = new HeadAccount(room, () -> {});
+              EmbeddedChannel channel = channel(account);
+              channel.writeInbound(bytes("GET / HTTP/1.1\r\n" + "a:\r\n".repeat(lines) + "\r\n"));
+              account.completeMessage();
+              HttpRequest request = channel.readInbound();
+              return request.decoderResult().isSuccess();
+            })
+        .count();
+  }
+
   /** Guards against lines of chunk sizes that are long and never end. */
   @Test
   void countsUnfinishedLineInsideBodyUntilItIsDecoded() {
