Cut long values in log events

Callers saw nothing yet. A caller chooses the id of its calls, 16 KB long if it likes, and each log event of the call repeats it. Up to 4,096 events wait in memory until they are written, which are over 60 MB of ids if the output stalls, on a host with a heap of 120 MB.

Change: a value of more than 512 characters is cut and marked with dots.

--- a/daemon/src/main/java/org/galenapost/daemon/log/LogValue.java
+++ b/daemon/src/main/java/org/galenapost/daemon/log/LogValue.java
@@ -2,10 +2,15 @@
 
 import java.util.regex.Pattern;
 
-/** Escapes values so that an event stays on one line and can be parsed into its pairs. */
+/**
+ * Escapes values so that an event stays on one line and can be parsed into its pairs. Long values
+ * are cut, since callers choose some of them and events wait in memory until they are written.
+ */
 final class LogValue {
 
   private static final Pattern PLAIN = Pattern.compile("[A-Za-z0-9_.:/@+,\\[\\]-]+");
+  private static final int MAX_LENGTH = 512;
+  private static final String CUT_MARK = "...";
   private static final int FIRST_PRINTABLE = 0x20;
   private static final int DELETE = 0x7f;
   private static final int LINE_SEPARATOR = 0x2028;
@@ -14,7 +19,8 @@
   private LogValue() {}
 
   static String escape(String value) {
-    return PLAIN.matcher(value).matches() ? value : quote(value);
+    String shown = value.length() <= MAX_LENGTH ? value : value.substring(0, MAX_LENGTH) + CUT_MARK;
+    return PLAIN.matcher(shown).matches() ? shown : quote(shown);
   }
 
   private static String quote(String value) {
--- a/daemon/src/test/java/org/galenapost/daemon/log/LogValueTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/log/LogValueTest.java
@@ -32,4 +32,12 @@
     // THEN
     assertThat(escaped).isEqualTo("\"x\\u000aevent=service_stopped\"");
   }
+
+  /** Guards against ids of callers that fill the queue of the log. */
+  @Test
+  void cutsLongValue() {
+    String escaped = LogValue.escape("i".repeat(15_000));
+
+    assertThat(escaped).startsWith("iii").endsWith("...").hasSizeLessThan(600);
+  }
 }
