Keep no ids of streams that nobody can resume

Callers saw nothing yet. A daemon remembers where each stream began under the id of its call, up to 65,536 of them for the call's time and five seconds, tells four other daemons, and writes those in progress into one object of the store. The id may be as long as a head; 70 such streams in progress make an object that the store refuses for its size, and then none of that daemon's streams is recorded, ordinary ones included. (By reading; no run shows the refused write.)

Cause: the id was recorded whatever its length, although a caller can name 64 characters at most when it resumes a stream.

Change: the origin of a stream whose id is longer is not recorded. The stream itself is served.

--- a/core/src/main/java/org/galenapost/core/origin/StreamOrigins.java
+++ b/core/src/main/java/org/galenapost/core/origin/StreamOrigins.java
@@ -20,6 +20,9 @@
  */
 public final class StreamOrigins {
 
+  /** A caller that resumes a stream cannot name a longer id, and memory is kept for each stream. */
+  private static final int MAX_ID_LENGTH = 64;
+
   /** Several daemons may be lost at once; each one more costs a message per stream. */
   static final int HOLDERS = 4;
 
@@ -100,6 +103,11 @@
     holders(stream, HOLDERS).forEach(daemon -> bus.send(daemon, announcement));
   }
 
+  /** Returns whether a caller can name the id of a stream to resume it. */
+  public static boolean isNameable(String stream) {
+    return stream.length() <= MAX_ID_LENGTH;
+  }
+
   /** Keeps an origin that another daemon recorded, without telling others. */
   void learn(String stream, StreamOrigin origin, Duration lifetime) {
     known.putIfAbsent(stream, origin, lifetime);
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/StreamBinding.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/StreamBinding.java
@@ -8,6 +8,7 @@
 import org.galenapost.core.instance.InstanceKey;
 import org.galenapost.core.instance.ServerInstance;
 import org.galenapost.core.origin.StreamOrigin;
+import org.galenapost.core.origin.StreamOrigins;
 import org.galenapost.core.verdict.Refusal;
 import org.galenapost.core.verdict.RefusalReason;
 
@@ -89,7 +90,8 @@
     if (softwareVersion.isEmpty()) {
       softwareVersion = Optional.of(versionOf(server));
     }
-    if (call.route().isResumable() && !softwareVersion.get().isEmpty()) {
+    boolean isResumable = call.route().isResumable() && StreamOrigins.isNameable(streamId());
+    if (isResumable && !softwareVersion.get().isEmpty()) {
       Duration remaining = call.remaining(context.clock());
       StreamOrigin origin = new StreamOrigin(call.service().name(), softwareVersion.get());
       context.origins().record(streamId(), origin, remaining);
--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/CrowdedGateway.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/CrowdedGateway.java
@@ -113,6 +113,18 @@
     assertThat(isAnswered).as("an ordinary request is answered amid the crowd").isTrue();
   }
 
+  /** Returns the value of a gauge without labels, as the operator port shows it. */
+  double gauge(String name) throws IOException {
+    try (RawHttpClient operator = new RawHttpClient(daemon.ports().operator())) {
+      String page = operator.send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n").readResponse().body();
+      return page.lines()
+          .filter(line -> line.startsWith(name + " "))
+          .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1)))
+          .findFirst()
+          .orElseThrow();
+    }
+  }
+
   private long peakResidentKb() throws IOException {
     try (Stream<String> lines = Files.lines(Path.of("/proc/" + daemon.pid() + "/status"))) {
       return lines
--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayMemoryTest.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayMemoryTest.java
@@ -235,6 +235,17 @@
     gateway.assertSurvival();
   }
 
+  /** No caller can resume a stream whose id is longer than the header for it admits. */
+  @Test
+  void keepsNoIdsOfStreamsThatNobodyCanResume() throws IOException {
+    try (RawHttpClient caller = new RawHttpClient(gateway.callerPort())) {
+      String longId = "i".repeat(LINES_BYTES - 500);
+      assertThat(caller.send(streamRequest(longId)).readResponse().status()).isEqualTo(200);
+    }
+
+    assertThat(gateway.gauge("galenapost_gateway_stream_origins")).isZero();
+  }
+
   /** Lines of the log wait in a queue, with the ids of the calls in them. */
   @Test
   void survivesLongIdsOfRefusedCalls() throws IOException {
