Count answers that callers do not read

Callers saw: connections cut at random while others left long answers or streams unread. Unread answers filled the direct memory of the process, and then whichever connection read or wrote next failed, an ordinary one as well as one of the crowd.

Cause: an answer counted against the room of all answers until it was complete, but not while it waited in the connection to its caller, where it takes as much; streams never counted there.

Change: what waits on a caller's connection counts until it has left, whenever a write did not end at once or the connection is blocked. When room is short, the answer that has been unread for longest is dropped and its connection closed; a caller that reads again counts anew. Ordinary answers leave with their write and cost nothing.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -449,6 +449,8 @@
     metrics.registerGauge("galenapost.gateway.instances", directory::size);
     metrics.registerGauge(
         "galenapost.gateway.answer.bytes.held", context.answerBuffers()::totalBytes);
+    metrics.registerGauge(
+        "galenapost.gateway.answers.dropped", context.answerBuffers()::droppedCount);
     metrics.registerGauge("galenapost.gateway.cell.peers", cells::peerCount);
     metrics.registerGauge(
         "galenapost.gateway.server.connections.opened", context.pool()::openedConnectionCount);
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerConnection.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerConnection.java
@@ -36,6 +36,7 @@
   private Optional<CallRun> currentRun = Optional.empty();
   private Runnable endOfCall = () -> {};
   private Channel channel;
+  private UnreadBytes unread;
   private boolean hasCallInProgress;
   private boolean isClosing;
 
@@ -46,6 +47,7 @@
   @Override
   public void channelActive(ChannelHandlerContext context) {
     channel = context.channel();
+    unread = frontend.unreadBytes(channel);
     frontend.addConnection(this);
     context.fireChannelActive();
   }
@@ -95,6 +97,7 @@
     CallerExchange exchange =
         new CallerExchange(
             context.channel(),
+            unread,
             accepted.isRight() ? accepted.get().head().id() : frontend.validator().idOf(request),
             !isMalformed && HttpUtil.isKeepAlive(request),
             request.protocolVersion().equals(HttpVersion.HTTP_1_1),
@@ -156,6 +159,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     isClosing = true;
+    unread.release();
     releaseQueuedRequests();
     frontend.removeConnection(this);
     endOfCall.run();
@@ -172,6 +176,7 @@
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
     if (context.channel().isWritable()) {
+      unread.release();
       currentRun.ifPresent(CallRun::onWritable);
     }
     context.fireChannelWritabilityChanged();
@@ -198,6 +203,7 @@
     CallerExchange exchange =
         new CallerExchange(
             context.channel(),
+            unread,
             "-",
             false,
             true,
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerExchange.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerExchange.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -32,6 +33,7 @@
 final class CallerExchange implements GatewayResponseWriter {
 
   private final Channel channel;
+  private final UnreadBytes unread;
   private final String callId;
   private final boolean isKeepAlive;
   private final boolean isChunkedAllowed;
@@ -45,6 +47,7 @@
    * Creates an exchange without a response yet.
    *
    * @param channel the caller's connection
+   * @param unread counts what the caller does not read
    * @param callId the id shown in problem documents
    * @param isKeepAlive whether the caller keeps the connection open
    * @param isChunkedAllowed whether the caller supports chunked encoding
@@ -54,6 +57,7 @@
    */
   CallerExchange(
       Channel channel,
+      UnreadBytes unread,
       String callId,
       boolean isKeepAlive,
       boolean isChunkedAllowed,
@@ -61,6 +65,7 @@
       BooleanSupplier isDraining,
       Consumer<Boolean> onEnd) {
     this.channel = channel;
+    this.unread = unread;
     this.callId = callId;
     this.isKeepAlive = isKeepAlive;
     this.isChunkedAllowed = isChunkedAllowed;
@@ -160,6 +165,9 @@
   @Override
   public void flush() {
     channel.flush();
+    if (!channel.isWritable()) {
+      unread.update();
+    }
   }
 
   @Override
@@ -172,10 +180,18 @@
       return;
     }
     isEnded = true;
-    channel
-        .writeAndFlush(lastMessage)
+    ChannelFuture written = channel.writeAndFlush(lastMessage);
+    if (!written.isDone()) {
+      unread.update();
+    }
+    written
         .addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
-        .addListener(written -> onEnd.accept(staysOpen));
+        .addListener(done -> onWritten(staysOpen));
+  }
+
+  private void onWritten(boolean staysOpen) {
+    unread.release();
+    onEnd.accept(staysOpen);
   }
 
   @Override
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerFrontend.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerFrontend.java
@@ -1,6 +1,7 @@
 package org.galenapost.daemon.gateway.front;
 
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.RecvByteBufAllocator;
 import io.vavr.control.Either;
@@ -120,6 +121,11 @@
     return state.isDraining();
   }
 
+  /** Creates the count of what the caller of a connection does not read. */
+  UnreadBytes unreadBytes(Channel channel) {
+    return new UnreadBytes(context.answerBuffers(), channel);
+  }
+
   void addConnection(CallerConnection connection) {
     connections.add(connection);
   }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/BufferBudget.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/BufferBudget.java
@@ -1,8 +1,13 @@
 package org.galenapost.daemon.gateway.run;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
+
 /**
- * Bounds the bytes that all calls hold of answers that are not complete yet. A faulty server may
- * send bytes without end, on several connections at once. Not safe for use by several threads.
+ * Bounds the bytes that all calls hold of answers: of incomplete ones, since a faulty server may
+ * send bytes without end on several connections at once, and of those that their callers have not
+ * read. When room is short, the answer that has been unread for longest is dropped first. Not safe
+ * for use by several threads.
  */
 public final class BufferBudget {
 
@@ -13,7 +18,9 @@
   private static final double HEAP_SHARE = 0.125;
 
   private final long maxTotalBytes;
+  private final Map<UnreadAnswer, Long> unreadBytes = new LinkedHashMap<>();
   private long totalBytes;
+  private long droppedCount;
 
   BufferBudget(long maxTotalBytes) {
     this.maxTotalBytes = maxTotalBytes;
@@ -24,6 +31,12 @@
     return new BufferBudget((long) (maxHeapBytes * HEAP_SHARE));
   }
 
+  /** What a caller has not read of an answer. */
+  public interface UnreadAnswer {
+    /** Closes the connection of the caller, which frees the memory of the answer. */
+    void drop();
+  }
+
   /**
    * Changes what one call holds.
    *
@@ -32,15 +45,44 @@
    * @return whether it may hold them; if not, nothing has changed
    */
   boolean tryResize(long heldBytes, long neededBytes) {
-    long newTotal = totalBytes - heldBytes + neededBytes;
-    boolean isGrowth = neededBytes > heldBytes;
-    if (isGrowth && (neededBytes > MAX_CALL_BYTES || newTotal > maxTotalBytes)) {
+    long grownBytes = neededBytes - heldBytes;
+    if (grownBytes > 0 && (neededBytes > MAX_CALL_BYTES || !makeRoom(grownBytes))) {
       return false;
     }
-    totalBytes = newTotal;
+    totalBytes += grownBytes;
     return true;
   }
 
+  /** Sets what a caller has not read of an answer; the answer itself may be dropped for it. */
+  public void holdUnread(UnreadAnswer answer, long bytes) {
+    long heldBytes = unreadBytes.getOrDefault(answer, 0L);
+    unreadBytes.put(answer, bytes);
+    totalBytes += bytes - heldBytes;
+    makeRoom(0);
+  }
+
+  /** Releases what is held of an answer that is read or dropped. */
+  public void releaseUnread(UnreadAnswer answer) {
+    Long bytes = unreadBytes.remove(answer);
+    totalBytes -= bytes == null ? 0 : bytes;
+  }
+
+  /** Drops unread answers until there is room, and returns whether there is. */
+  private boolean makeRoom(long bytes) {
+    while (totalBytes + bytes > maxTotalBytes && !unreadBytes.isEmpty()) {
+      UnreadAnswer longestUnread = unreadBytes.keySet().iterator().next();
+      releaseUnread(longestUnread);
+      droppedCount++;
+      longestUnread.drop();
+    }
+    return totalBytes + bytes <= maxTotalBytes;
+  }
+
+  /** Returns how many answers were dropped because their callers did not read them. */
+  public long droppedCount() {
+    return droppedCount;
+  }
+
   /** Returns the bytes that all calls hold. */
   public long totalBytes() {
     return totalBytes;
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/run/BufferBudgetTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/run/BufferBudgetTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.galenapost.daemon.gateway.run.BufferBudget.MAX_CALL_BYTES;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class BufferBudgetTest {
@@ -43,4 +45,38 @@
 
     assertThat(budget.tryResize(0, 1)).isTrue();
   }
+
+  /** Guards against answers that nobody reads and that keep out those of other calls. */
+  @Test
+  void answerThatIsUnreadForLongestGivesUpItsRoomFirst() {
+    List<String> dropped = new ArrayList<>();
+    BufferBudget.UnreadAnswer first = () -> dropped.add("first");
+    BufferBudget.UnreadAnswer second = () -> dropped.add("second");
+    budget.holdUnread(first, MAX_TOTAL_BYTES / 2);
+    budget.holdUnread(second, MAX_TOTAL_BYTES / 2);
+    budget.holdUnread(first, MAX_TOTAL_BYTES / 2);
+
+    assertThat(budget.tryResize(0, 1_000)).isTrue();
+
+    assertThat(dropped).containsExactly("first");
+    assertThat(budget.totalBytes()).isEqualTo(MAX_TOTAL_BYTES / 2 + 1_000);
+    assertThat(budget.droppedCount()).isEqualTo(1);
+  }
+
+  @Test
+  void callerThatReadsAgainCountsAnew() {
+    List<String> dropped = new ArrayList<>();
+    BufferBudget.UnreadAnswer slow = () -> dropped.add("slow");
+    BufferBudget.UnreadAnswer stalled = () -> dropped.add("stalled");
+    budget.holdUnread(slow, MAX_TOTAL_BYTES / 2);
+    budget.holdUnread(stalled, MAX_TOTAL_BYTES / 2);
+    budget.releaseUnread(slow);
+    budget.holdUnread(slow, MAX_TOTAL_BYTES / 2);
+
+    assertThat(budget.tryResize(0, 1_000)).isTrue();
+
+    assertThat(dropped).containsExactly("stalled");
+    budget.releaseUnread(stalled);
+    assertThat(budget.totalBytes()).isEqualTo(MAX_TOTAL_BYTES / 2 + 1_000);
+  }
 }
--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayUnreadAnswersTest.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayUnreadAnswersTest.java
@@ -1,5 +1,6 @@
 package org.galenapost.scenarios.soak;
 
+import static org.assertj.core.api.Assertions.assertThat;
 import static org.galenapost.scenarios.soak.CrowdedGateway.bytes;
 
 import java.io.IOException;
@@ -8,6 +9,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.galenapost.scenarios.process.ManagedProcess;
 import org.galenapost.standins.gateway.StoreContentWriter;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -27,6 +29,7 @@
   private static final int STREAM_CALLERS = 200;
   private static final int STREAM_SERVERS = 4;
   private static final int ANSWER_BYTES = 1_000_000;
+  private static final int MAX_ANSWERS_BYTES = 48 * 1024 * 1024 / 8;
   private static final int EVENT_BYTES = 1_000;
   private static final int PIPELINED_REQUESTS = 100;
   private static final String HEAD =
@@ -35,7 +38,7 @@
   @TempDir private Path folder;
   private CrowdedGateway gateway;
   private HeldConnections crowd;
-  private final List<OddServer> streamServers = new ArrayList<>();
+  private final List<OddServer> servers = new ArrayList<>();
 
   @BeforeEach
   void start() {
@@ -46,7 +49,7 @@
   @AfterEach
   void stop() throws IOException {
     gateway.close();
-    for (OddServer server : streamServers) {
+    for (OddServer server : servers) {
       server.close();
     }
   }
@@ -69,26 +72,36 @@
 
   @Test
   void survivesUnreadLongAnswers() throws IOException {
-    byte[] answer =
-        bytes(HEAD + "Content-Length: " + ANSWER_BYTES + "\r\n\r\n" + "x".repeat(ANSWER_BYTES));
-    try (OddServer server = new OddServer(output -> output.write(answer))) {
-      gateway.replaceServers(StoreContentWriter.STREAM_SERVICE, server.port());
-      crowd.openWithSmallWindow(gateway.callerPort(), CALLERS, streamRequest());
+    openUnreadLongAnswers();
 
-      gateway.assertSurvival();
-    }
+    gateway.assertSurvival();
   }
 
   @Test
   void servesOthersWhileLongAnswersAreUnread() throws IOException {
+    openUnreadLongAnswers();
+
+    gateway.assertServesAmidCrowd();
+  }
+
+  /** Unread answers take memory of the daemon like those that are not complete yet. */
+  @Test
+  void countsUnreadAnswersAgainstTheRoomOfAllAnswers() throws IOException {
+    openUnreadLongAnswers();
+    crowd.awaitSent();
+    ManagedProcess.pause(CrowdedGateway.SETTLE_TIME);
+
+    assertThat(gateway.gauge("galenapost_gateway_answer_bytes_held"))
+        .isBetween((double) ANSWER_BYTES, (double) MAX_ANSWERS_BYTES);
+  }
+
+  private void openUnreadLongAnswers() throws IOException {
     byte[] answer =
         bytes(HEAD + "Content-Length: " + ANSWER_BYTES + "\r\n\r\n" + "x".repeat(ANSWER_BYTES));
-    try (OddServer server = new OddServer(output -> output.write(answer))) {
-      gateway.replaceServers(StoreContentWriter.STREAM_SERVICE, server.port());
-      crowd.openWithSmallWindow(gateway.callerPort(), CALLERS, streamRequest());
-
-      gateway.assertServesAmidCrowd();
-    }
+    OddServer server = new OddServer(output -> output.write(answer));
+    servers.add(server);
+    gateway.replaceServers(StoreContentWriter.STREAM_SERVICE, server.port());
+    crowd.openWithSmallWindow(gateway.callerPort(), CALLERS, streamRequest());
   }
 
   @Test
@@ -109,7 +122,7 @@
     int[] ports = new int[STREAM_SERVERS];
     for (int i = 0; i < STREAM_SERVERS; i++) {
       OddServer server = new OddServer(GatewayUnreadAnswersTest::streamWithoutEnd);
-      streamServers.add(server);
+      servers.add(server);
       ports[i] = server.port();
     }
     gateway.replaceServers(StoreContentWriter.STREAM_SERVICE, ports);
