Let refused connections close without an error

Cause: a connection that finds no slot is closed before it becomes active for the handler of calls, which learned its channel only then and failed when the connection ended. The failure was caught and logged at debug level; nothing was held. Change: the handler learns its channel when it is added. Found by reading the change that added slots; no run showed it, and no test covers it.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerConnection.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerConnection.java
@@ -44,10 +44,15 @@
     this.frontend = frontend;
   }
 
+  /** Called also for connections that are refused, which never become active here. */
   @Override
-  public void channelActive(ChannelHandlerContext context) {
+  public void handlerAdded(ChannelHandlerContext context) {
     channel = context.channel();
     unread = frontend.unreadBytes(channel);
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
     frontend.addConnection(this);
     context.fireChannelActive();
   }
