Count the parts of request bodies

Callers saw nothing yet. A chunk of one byte takes an object of more than a hundred until its body is complete, and 1,024 of them wait before they are copied together. Connections that send a thousand tiny chunks each and no end hold 160 KB each of which the budget of bodies counted 1 KB.

Change: from the 17th part on each part counts 160 bytes more. Ordinary bodies come in fewer parts.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/BodyBudgetHandler.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/BodyBudgetHandler.java
@@ -25,12 +25,22 @@
  */
 final class BodyBudgetHandler extends ChannelDuplexHandler {
 
+  /** The objects that hold one part of a body until all of it has come. */
+  private static final int PART_BYTES = 160;
+
+  /** An ordinary body comes in fewer parts, whose objects need not be counted. */
+  private static final int UNCOUNTED_PARTS = 16;
+
+  /** The aggregator copies this many parts together. */
+  private static final int MAX_PARTS = 1_024;
+
   private final BodyBudget budget;
   private final long maxBodyBytes;
   private final Deque<Long> reservations = new ArrayDeque<>();
   private HttpRequest current;
   private long currentBytes;
   private long declaredBytes;
+  private int partCount;
   private boolean isDropping;
 
   /**
@@ -84,15 +94,22 @@
   private void begin(HttpRequest request) {
     current = request;
     currentBytes = 0;
+    partCount = 0;
     declaredBytes = HttpUtil.getContentLength(request, 0L);
     isDropping = !tryReserve(declaredBytes);
   }
 
-  /** Reserves what exceeds the declared length, as of a body that comes in chunks. */
+  /**
+   * Reserves what exceeds the declared length, as of a body that comes in chunks, and what a part
+   * takes besides its bytes, since a body may come in parts of one byte.
+   */
   private void reserve(HttpContent content) {
     long undeclaredBytes = content.content().readableBytes() - declaredBytes;
     declaredBytes = Math.max(0, -undeclaredBytes);
-    isDropping = isDropping || (undeclaredBytes > 0 && !tryReserve(undeclaredBytes));
+    partCount++;
+    boolean isPartCounted = partCount > UNCOUNTED_PARTS && partCount <= MAX_PARTS;
+    long bytes = Math.max(0, undeclaredBytes) + (isPartCounted ? PART_BYTES : 0);
+    isDropping = isDropping || (bytes > 0 && !tryReserve(bytes));
   }
 
   private boolean tryReserve(long bytes) {
--- a/daemon/src/main/java/org/galenapost/daemon/net/DescriptorLimit.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/DescriptorLimit.java
@@ -26,6 +26,9 @@
   private static final int ADMIN_DIVISOR = 16;
   private static final int HANDSHAKE_DIVISOR = 16;
 
+  /** Enough for a fleet of several hundred daemons that connect to one another at once. */
+  private static final int MAX_HANDSHAKES = 256;
+
   private final int count;
 
   private DescriptorLimit(int count) {
@@ -68,6 +71,6 @@
 
   /** Returns how many connections of daemons that are not authenticated may be open at most. */
   public int maxHandshakes() {
-    return count / HANDSHAKE_DIVISOR;
+    return Math.min(MAX_HANDSHAKES, count / HANDSHAKE_DIVISOR);
   }
 }
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/front/BodyBudgetHandlerTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/front/BodyBudgetHandlerTest.java
@@ -105,6 +105,23 @@
     assertThat(budget.reservedBytes()).isZero();
   }
 
+  /** Guards against chunks of one byte, each of which takes objects of a hundred bytes. */
+  @Test
+  void countsPartsOfBodyBesidesTheirBytes() {
+    BodyBudget room = new BodyBudget(100_000);
+    EmbeddedChannel channel = new EmbeddedChannel(new BodyBudgetHandler(room, 50_000));
+    HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/a");
+    request.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    channel.writeInbound(request);
+    for (int i = 0; i < 500; i++) {
+      channel.writeInbound(new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[1])));
+    }
+
+    assertThat(room.reservedBytes()).isGreaterThan(50_000);
+    channel.finishAndReleaseAll();
+    assertThat(room.reservedBytes()).isZero();
+  }
+
   @Test
   void refusesAtOnceRequestThatWaitsForLeaveToSendItsBody() {
     send(first, 800);
--- a/daemon/src/test/java/org/galenapost/daemon/net/DescriptorLimitTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/net/DescriptorLimitTest.java
@@ -36,4 +36,10 @@
         limit.maxCallerConnections() + 2 * limit.maxAdminConnections() + limit.maxHandshakes();
     assertThat(taken).isLessThanOrEqualTo(LIMIT_OF_HOSTS * 3 / 4);
   }
+
+  /** Each connection takes memory, however many descriptors a host has. */
+  @Test
+  void handshakesAreBoundedOnHostsWithManyDescriptors() {
+    assertThat(DescriptorLimit.of(1_000_000).maxHandshakes()).isEqualTo(256);
+  }
 }
--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayMemoryTest.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayMemoryTest.java
@@ -169,6 +169,15 @@
     gateway.assertSurvival();
   }
 
+  /** A chunk of one byte takes objects of a hundred bytes until its body is complete. */
+  @Test
+  void survivesUnfinishedBodiesOfTinyChunks() throws IOException {
+    byte[] body = bytes(chunkedHead() + "1\r\nx\r\n".repeat(1_000));
+    crowd.open(gateway.callerPort(), 2 * CONNECTIONS, Duration.ZERO, body);
+
+    gateway.assertSurvival();
+  }
+
   @Test
   void survivesUnfinishedHeadsOfServer() throws IOException {
     byte[] head = join(bytes("HTTP/1.1 200 OK\r\n"), HeadShape.EMPTY_VALUES.lines(4 * LINES_BYTES));
