--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -184,8 +184,7 @@
     Supplier<Optional<RouteTable>> routesInForce =
         () -> follower.isReady() ? routes.current() : Optional.empty();
     RequestValidator validator = new RequestValidator(format, routesInForce, state, tickets);
-    CallerFrontend frontend =
-        new CallerFrontend(context, validator, routesInForce, state, calls, heads, callerSlots());
+    CallerFrontend frontend = callerFrontend(context, validator, routesInForce, state);
     GatewayListeners listeners =
         new GatewayListeners(settings, eventLoops, state, metrics, heads, descriptors);
     HttpListener caller = listeners.callers(frontend, callerSocket);
@@ -205,10 +204,16 @@
         services, state, drain, caller, readiness, operator, bus::ownAddress, bus::setSeeds);
   }
 
-  private ConnectionSlots callerSlots() {
-    return new ConnectionSlots(
-        Math.min(settings.limits().maxConnections(), descriptors.maxCallerConnections()),
-        () -> metrics.recordRefusedConnection("caller"));
+  private CallerFrontend callerFrontend(
+      GatewayContext context,
+      RequestValidator validator,
+      Supplier<Optional<RouteTable>> routesInForce,
+      DaemonState state) {
+    int maxConnections =
+        Math.min(settings.limits().maxConnections(), descriptors.maxCallerConnections());
+    ConnectionSlots slots =
+        new ConnectionSlots(maxConnections, () -> metrics.recordRefusedConnection("caller"));
+    return new CallerFrontend(context, validator, routesInForce, state, calls, heads, slots);
   }
 
   private ConfigurationFollower configurationFollower(
