Count a request as in progress only once it is complete

Callers saw: no connection, for idle_timeout_ms at a time, while others held as many connections as there are slots and sent heads whose bodies do not come.

Cause: a connection left the list of those that may be closed in favour of new ones when the head of a request was complete, and such a request costs its caller nothing.

Change: it leaves the list with the end of the request. An upload that goes on may thus be closed in a flood, if it has waited longest of all; it has not been passed on to a server.

--- a/daemon/src/main/java/org/galenapost/daemon/http/ConnectionSlots.java
+++ b/daemon/src/main/java/org/galenapost/daemon/http/ConnectionSlots.java
@@ -10,8 +10,8 @@
 
 /**
  * Bounds the open connections of a listener without keeping new callers out. A connection beyond
- * the bound takes the place of the one that has waited for a complete request head for longest. If
- * a request is in progress on each of them, the new connection is closed.
+ * the bound takes the place of the one that has waited for a complete request for longest. If a
+ * complete request is in progress on each of them, the new connection is closed.
  *
  * <p>It comes first in the pipeline, so that a refused connection allocates nothing but its socket.
  */
@@ -79,7 +79,7 @@
     waiting.remove(channel);
   }
 
-  /** Records that a connection waits for a request from now on. */
+  /** Records that a connection waits for a complete request from now on. */
   synchronized void onWaiting(Channel channel) {
     if (channel.isActive()) {
       waiting.remove(channel);
@@ -87,7 +87,7 @@
     }
   }
 
-  /** Records that a request is in progress on a connection. */
+  /** Records that a complete request is in progress on a connection. */
   synchronized void onRequest(Channel channel) {
     waiting.remove(channel);
   }
--- a/daemon/src/main/java/org/galenapost/daemon/http/SlowCallerGuard.java
+++ b/daemon/src/main/java/org/galenapost/daemon/http/SlowCallerGuard.java
@@ -33,7 +33,7 @@
    * Creates the guard of one connection.
    *
    * @param options the timeouts
-   * @param slots told when the connection waits for a request, if the listener has slots
+   * @param slots told when the connection waits for a complete request, if the listener has slots
    */
   SlowCallerGuard(ListenerOptions options, Optional<ConnectionSlots> slots) {
     this.options = options;
@@ -63,6 +63,7 @@
     if (message instanceof LastHttpContent) {
       isReadingRequest = false;
       unansweredRequests++;
+      slots.ifPresent(taken -> taken.onRequest(context.channel()));
       cancel(requestTimer);
     }
     context.fireChannelRead(message);
@@ -148,7 +149,6 @@
   }
 
   private void startBodyTimer(ChannelHandlerContext context) {
-    slots.ifPresent(taken -> taken.onRequest(context.channel()));
     cancel(requestTimer);
     requestTimer =
         schedule(
--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayConnectionsTest.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayConnectionsTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import org.galenapost.scenarios.process.ManagedProcess;
+import org.galenapost.standins.gateway.StoreContentWriter;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -60,6 +61,22 @@
     gateway.assertServesAmidCrowd();
   }
 
+  @Test
+  void servesOthersWhileBodiesAreAwaited() {
+    String head =
+        StoreContentWriter.request(
+            "POST",
+            "/act/1",
+            "b",
+            CrowdedGateway.KEY,
+            CrowdedGateway.DEADLINE_MS,
+            "",
+            "Content-Length: 10");
+    crowd.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, bytes(head));
+
+    gateway.assertServesAmidCrowd();
+  }
+
   @Test
   void servesOthersWhileCallersComeBackAtOnce() {
     byte[] head = bytes("GET /read/1 HTTP/1.1\r\na:\r\n");
