--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/CrowdedGateway.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/FloodedGateway.java
@@ -15,10 +15,10 @@
 import org.galenapost.standins.gateway.StoreContentWriter;
 
 /**
- * A gateway process with little memory, a crowd of callers that do not behave, and the checks that
- * hold whatever the crowd does.
+ * A gateway process with little memory, a flood of clients that misbehave, and the checks that hold
+ * whatever they do.
  */
-final class CrowdedGateway implements AutoCloseable {
+final class FloodedGateway implements AutoCloseable {
 
   /** Options of the deployment, with a smaller heap and less direct memory. */
   static final ProcessOptions SMALL_PROCESS =
@@ -45,9 +45,9 @@
 
   private final SoakFleet fleet;
   private final SoakDaemon daemon;
-  private final HeldConnections crowd = new HeldConnections();
+  private final MisbehavingClients clients = new MisbehavingClients();
 
-  CrowdedGateway(Path folder, ProcessOptions options) {
+  FloodedGateway(Path folder, ProcessOptions options) {
     fleet = new SoakFleet(folder, 1, options);
     fleet.content().setLimit("max_header_bytes", MAX_HEAD_BYTES);
     fleet.content().setLimit("max_body_bytes", 4_194_304);
@@ -66,8 +66,8 @@
     return daemon;
   }
 
-  HeldConnections crowd() {
-    return crowd;
+  MisbehavingClients clients() {
+    return clients;
   }
 
   int callerPort() {
@@ -83,7 +83,7 @@
     for (int port : ports) {
       fleet
           .content()
-          .registerServer("odd-" + port, "127.0.0.1:" + port, service, "z1", "ready", "v1");
+          .registerServer("scripted-" + port, "127.0.0.1:" + port, service, "z1", "ready", "v1");
     }
     ManagedProcess.pause(SETTLE_TIME.multipliedBy(2));
   }
@@ -104,27 +104,25 @@
   }
 
   private void assertSurvival(int maxResidentKb, int maxDescriptors) throws IOException {
-    crowd.awaitSent();
+    clients.awaitSent();
     ManagedProcess.pause(SETTLE_TIME);
     assertThat(daemon.hasExitedUnexpectedly()).as("the process exited").isFalse();
     assertThat(peakResidentKb()).as("peak resident memory in KB").isLessThan(maxResidentKb);
     assertThat(descriptorCount()).as("open descriptors").isLessThan(maxDescriptors);
-    crowd.close();
+    clients.close();
     boolean isAnswered = isAnswered("GET", "/read/1", "");
     assertThat(daemon.hasExitedUnexpectedly()).as("the process exited").isFalse();
     assertThat(isAnswered).as("an ordinary request is answered").isTrue();
   }
 
-  /**
-   * Checks that ordinary callers get answers, with a body and without, while the crowd is there.
-   */
-  void assertServesAmidCrowd() {
-    crowd.awaitSent();
+  /** Checks that ordinary callers get answers, with a body and without, during the flood. */
+  void assertServesOthersDuringFlood() {
+    clients.awaitSent();
     ManagedProcess.pause(SETTLE_TIME);
     boolean isAnswered =
         isAnswered("GET", "/read/1", "") && isAnswered("POST", "/act/1", SHORT_BODY);
     assertThat(daemon.hasExitedUnexpectedly()).as("the process exited").isFalse();
-    assertThat(isAnswered).as("ordinary requests are answered amid the crowd").isTrue();
+    assertThat(isAnswered).as("ordinary requests are answered during the flood").isTrue();
   }
 
   /** Returns the value of a gauge without labels, as the operator port shows it. */
@@ -188,7 +186,7 @@
 
   @Override
   public void close() {
-    crowd.close();
+    clients.close();
     fleet.close();
   }
 }
--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayConnectionsTest.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayConnectionsTest.java
@@ -1,7 +1,7 @@
 package org.galenapost.scenarios.soak;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.galenapost.scenarios.soak.CrowdedGateway.bytes;
+import static org.galenapost.scenarios.soak.FloodedGateway.bytes;
 
 import java.io.IOException;
 import java.nio.file.Path;
@@ -31,15 +31,15 @@
   private static final byte[] NOTHING = new byte[0];
 
   @TempDir private Path folder;
-  private CrowdedGateway gateway;
-  private HeldConnections crowd;
+  private FloodedGateway gateway;
+  private MisbehavingClients clients;
 
   @BeforeEach
   void start() {
     gateway =
-        new CrowdedGateway(
-            folder, CrowdedGateway.SMALL_PROCESS.withMaxDescriptors(PROCESS_DESCRIPTORS));
-    crowd = gateway.crowd();
+        new FloodedGateway(
+            folder, FloodedGateway.SMALL_PROCESS.withMaxDescriptors(PROCESS_DESCRIPTORS));
+    clients = gateway.clients();
   }
 
   @AfterEach
@@ -49,16 +49,16 @@
 
   @Test
   void leavesDescriptorsFreeUnderIdleConnections() throws IOException {
-    crowd.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, NOTHING);
+    clients.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, NOTHING);
 
     gateway.assertSurvival(MAX_DESCRIPTORS);
   }
 
   @Test
   void servesOthersWhileIdleConnectionsAreHeld() {
-    crowd.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, NOTHING);
+    clients.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, NOTHING);
 
-    gateway.assertServesAmidCrowd();
+    gateway.assertServesOthersDuringFlood();
   }
 
   @Test
@@ -68,26 +68,26 @@
             "POST",
             "/act/1",
             "b",
-            CrowdedGateway.KEY,
-            CrowdedGateway.DEADLINE_MS,
+            FloodedGateway.KEY,
+            FloodedGateway.DEADLINE_MS,
             "",
             "Content-Length: 10");
-    crowd.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, bytes(head));
+    clients.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, bytes(head));
 
-    gateway.assertServesAmidCrowd();
+    gateway.assertServesOthersDuringFlood();
   }
 
   @Test
   void servesOthersWhileCallersComeBackAtOnce() {
     byte[] head = bytes("GET /read/1 HTTP/1.1\r\na:\r\n");
-    crowd.keepReturning(gateway.callerPort(), CONNECTIONS, () -> head);
+    clients.keepReturning(gateway.callerPort(), CONNECTIONS, () -> head);
 
-    gateway.assertServesAmidCrowd();
+    gateway.assertServesOthersDuringFlood();
   }
 
   @Test
   void leavesDescriptorsFreeUnderConnectionsToPeerPort() throws IOException {
-    crowd.open(gateway.daemon().ports().peer(), CONNECTIONS, Duration.ZERO, NOTHING);
+    clients.open(gateway.daemon().ports().peer(), CONNECTIONS, Duration.ZERO, NOTHING);
 
     gateway.assertSurvival(MAX_DESCRIPTORS);
   }
@@ -95,9 +95,9 @@
   /** A balancer that gets no answer takes the host out of use. */
   @Test
   void answersReadinessProbeWhileConnectionsAreHeld() {
-    crowd.open(gateway.daemon().ports().readiness(), ADMIN_CONNECTIONS, Duration.ZERO, NOTHING);
-    crowd.awaitSent();
-    ManagedProcess.pause(CrowdedGateway.SETTLE_TIME);
+    clients.open(gateway.daemon().ports().readiness(), ADMIN_CONNECTIONS, Duration.ZERO, NOTHING);
+    clients.awaitSent();
+    ManagedProcess.pause(FloodedGateway.SETTLE_TIME);
 
     assertThat(gateway.daemon().isReady()).as("the readiness probe is answered").isTrue();
   }
--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayMemoryTest.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayMemoryTest.java
@@ -1,8 +1,8 @@
 package org.galenapost.scenarios.soak;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.galenapost.scenarios.soak.CrowdedGateway.bytes;
-import static org.galenapost.scenarios.soak.CrowdedGateway.join;
+import static org.galenapost.scenarios.soak.FloodedGateway.bytes;
+import static org.galenapost.scenarios.soak.FloodedGateway.join;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -45,13 +45,13 @@
           + "Transfer-Encoding: chunked\r\n\r\n";
 
   @TempDir private Path folder;
-  private CrowdedGateway gateway;
-  private HeldConnections crowd;
+  private FloodedGateway gateway;
+  private MisbehavingClients clients;
 
   @BeforeEach
   void start() {
-    gateway = new CrowdedGateway(folder, CrowdedGateway.SMALL_PROCESS);
-    crowd = gateway.crowd();
+    gateway = new FloodedGateway(folder, FloodedGateway.SMALL_PROCESS);
+    clients = gateway.clients();
   }
 
   @AfterEach
@@ -62,7 +62,7 @@
   @ParameterizedTest
   @EnumSource(HeadShape.class)
   void survivesUnfinishedHeadsSentAtOnce(HeadShape shape) throws IOException {
-    crowd.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, unfinishedHead(shape));
+    clients.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, unfinishedHead(shape));
 
     gateway.assertSurvival();
   }
@@ -71,7 +71,7 @@
   @EnumSource(HeadShape.class)
   void survivesUnfinishedHeadsSentInPieces(HeadShape shape) throws IOException {
     byte[][] pieces = pieces(unfinishedHead(shape));
-    crowd.open(gateway.callerPort(), CONNECTIONS, PIECE_PAUSE, pieces);
+    clients.open(gateway.callerPort(), CONNECTIONS, PIECE_PAUSE, pieces);
 
     gateway.assertSurvival();
   }
@@ -80,7 +80,7 @@
   void survivesPipelinedRequestsWithManyLines() throws IOException {
     byte[][] requests = new byte[PIPELINED_REQUESTS][];
     Arrays.setAll(requests, i -> bytes(requestWithManyLines("p" + i)));
-    crowd.open(gateway.callerPort(), PIPELINED_CONNECTIONS, Duration.ZERO, requests);
+    clients.open(gateway.callerPort(), PIPELINED_CONNECTIONS, Duration.ZERO, requests);
 
     gateway.assertSurvival();
   }
@@ -91,7 +91,7 @@
         bytes(
             requestWithManyLines("b")
                 .replace("X-Attempt-Id", "Content-Length: 1000\r\nX-Attempt-Id"));
-    crowd.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, request);
+    clients.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, request);
 
     gateway.assertSurvival();
   }
@@ -99,10 +99,10 @@
   /** Bodies count by their declared length, which costs their callers nothing. */
   @Test
   void servesOthersWhileLongBodiesAreAwaited() {
-    crowd.open(gateway.callerPort(), CONNECTIONS / 2, Duration.ZERO, headOfUpload(1_000_000));
-    crowd.open(gateway.callerPort(), CONNECTIONS / 2, Duration.ZERO, headOfUpload(66_000));
+    clients.open(gateway.callerPort(), CONNECTIONS / 2, Duration.ZERO, headOfUpload(1_000_000));
+    clients.open(gateway.callerPort(), CONNECTIONS / 2, Duration.ZERO, headOfUpload(66_000));
 
-    gateway.assertServesAmidCrowd();
+    gateway.assertServesOthersDuringFlood();
   }
 
   private static byte[] headOfUpload(int bodyBytes) {
@@ -111,8 +111,8 @@
             "POST",
             "/act/1",
             "l",
-            CrowdedGateway.KEY,
-            CrowdedGateway.DEADLINE_MS,
+            FloodedGateway.KEY,
+            FloodedGateway.DEADLINE_MS,
             "",
             "Content-Length: " + bodyBytes));
   }
@@ -121,8 +121,8 @@
   void survivesUnfinishedHeadsAtReadyAndOperatorPorts() throws IOException {
     byte[] head =
         join(bytes("GET /ready HTTP/1.1\r\n"), HeadShape.EMPTY_VALUES.lines(ADMIN_LINES_BYTES));
-    crowd.open(gateway.daemon().ports().readiness(), ADMIN_CONNECTIONS, Duration.ZERO, head);
-    crowd.open(gateway.daemon().ports().operator(), ADMIN_CONNECTIONS, Duration.ZERO, head);
+    clients.open(gateway.daemon().ports().readiness(), ADMIN_CONNECTIONS, Duration.ZERO, head);
+    clients.open(gateway.daemon().ports().operator(), ADMIN_CONNECTIONS, Duration.ZERO, head);
 
     gateway.assertSurvival();
   }
@@ -130,7 +130,7 @@
   @Test
   void survivesUnfinishedFramesAtPeerPort() throws IOException {
     byte[] frame = ByteBuffer.allocate(2 * 1024 * 1024).putInt(0, 8 * 1024 * 1024 - 8).array();
-    crowd.open(gateway.daemon().ports().peer(), PEER_CONNECTIONS, Duration.ZERO, frame);
+    clients.open(gateway.daemon().ports().peer(), PEER_CONNECTIONS, Duration.ZERO, frame);
 
     gateway.assertSurvival();
   }
@@ -138,7 +138,7 @@
   @Test
   void survivesUnfinishedTrailers() throws IOException {
     byte[] trailers = HeadShape.EMPTY_VALUES.lines(LINES_BYTES);
-    crowd.open(
+    clients.open(
         gateway.callerPort(),
         CONNECTIONS,
         Duration.ZERO,
@@ -149,7 +149,7 @@
 
   @Test
   void survivesUnfinishedChunkExtensions() throws IOException {
-    crowd.open(
+    clients.open(
         gateway.callerPort(),
         CONNECTIONS,
         Duration.ZERO,
@@ -160,7 +160,7 @@
 
   @Test
   void survivesManyTinyChunks() throws IOException {
-    crowd.open(
+    clients.open(
         gateway.callerPort(),
         CONNECTIONS,
         Duration.ZERO,
@@ -173,7 +173,7 @@
   @Test
   void survivesUnfinishedBodiesOfTinyChunks() throws IOException {
     byte[] body = bytes(chunkedHead() + "1\r\nx\r\n".repeat(1_000));
-    crowd.open(gateway.callerPort(), 2 * CONNECTIONS, Duration.ZERO, body);
+    clients.open(gateway.callerPort(), 2 * CONNECTIONS, Duration.ZERO, body);
 
     gateway.assertSurvival();
   }
@@ -208,9 +208,9 @@
   }
 
   private void assertSurvivalOfServer(byte[] answer) throws IOException {
-    try (OddServer server = new OddServer(output -> output.write(answer))) {
+    try (ScriptedServer server = new ScriptedServer(output -> output.write(answer))) {
       gateway.replaceServers(StoreContentWriter.STREAM_SERVICE, server.port());
-      crowd.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, bytes(streamRequest("s")));
+      clients.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, bytes(streamRequest("s")));
 
       gateway.assertSurvival();
     }
@@ -219,7 +219,7 @@
   @Test
   void survivesUnfinishedHeadsOfStore() throws IOException {
     byte[] head = join(bytes("HTTP/1.1 200 OK\r\n"), HeadShape.EMPTY_VALUES.lines(LINES_BYTES));
-    try (OddServer store = new OddServer(output -> output.write(head))) {
+    try (ScriptedServer store = new ScriptedServer(output -> output.write(head))) {
       LinkStandin link = gateway.fleet().storeLink(0);
       link.setTarget(new InetSocketAddress(InetAddress.getLoopbackAddress(), store.port()));
       link.resetConnections();
@@ -233,7 +233,7 @@
   void survivesCompleteHeadsWhoseCallsWait() throws IOException {
     delayStreams();
     String request = requestWithManyLines("w").replace("GET /read/1", "GET /gen/1");
-    crowd.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, bytes(request));
+    clients.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, bytes(request));
 
     gateway.assertSurvival();
   }
@@ -244,7 +244,7 @@
     delayStreams();
     String parts = "a:1" + ",a:1".repeat(3_700);
     byte[] request = bytes(streamRequest("m", "X-Prompt-Prefix: " + parts));
-    crowd.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, request);
+    clients.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, request);
 
     gateway.assertSurvival();
   }
@@ -254,7 +254,7 @@
   void survivesLongIdsOfStreams() throws IOException {
     AtomicInteger number = new AtomicInteger();
     String filler = "i".repeat(LINES_BYTES - 500);
-    crowd.keepReturning(
+    clients.keepReturning(
         gateway.callerPort(),
         ADMIN_CONNECTIONS,
         () -> bytes(streamRequest(filler + number.incrementAndGet())));
@@ -278,7 +278,7 @@
   void survivesLongIdsOfRefusedCalls() throws IOException {
     String id = "i".repeat(LINES_BYTES - 500);
     byte[] request = bytes("GET /none HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: " + id + "\r\n\r\n");
-    crowd.keepReturning(gateway.callerPort(), CONNECTIONS, () -> request);
+    clients.keepReturning(gateway.callerPort(), CONNECTIONS, () -> request);
 
     gateway.assertSurvival();
   }
@@ -288,7 +288,7 @@
     byte[][] lines = new byte[LINES_SENT_ALONE][];
     Arrays.fill(lines, bytes("a:\r\n"));
     lines[0] = bytes("GET /read/1 HTTP/1.1\r\n");
-    crowd.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, lines);
+    clients.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, lines);
 
     gateway.assertSurvival();
   }
@@ -297,7 +297,7 @@
   void survivesSmallPipelinedRequestsWhoseAnswersAreNotRead() throws IOException {
     byte[] requests =
         bytes("GET /none HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: t\r\n\r\n".repeat(4_000));
-    crowd.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, requests);
+    clients.open(gateway.callerPort(), CONNECTIONS, Duration.ZERO, requests);
 
     gateway.assertSurvival();
   }
@@ -305,7 +305,7 @@
   @Test
   void survivesCallersThatComeBackAtOnce() throws IOException {
     byte[] head = unfinishedHead(HeadShape.EMPTY_VALUES);
-    crowd.keepReturning(gateway.callerPort(), CONNECTIONS, () -> head);
+    clients.keepReturning(gateway.callerPort(), CONNECTIONS, () -> head);
 
     gateway.assertSurvival();
   }
@@ -332,7 +332,7 @@
     String[] lines = Arrays.copyOf(headers, headers.length + 1);
     lines[headers.length] = StoreContentWriter.STREAM_HEADER;
     return StoreContentWriter.request(
-        "POST", "/gen/1", id, CrowdedGateway.KEY, CrowdedGateway.DEADLINE_MS, "p", lines);
+        "POST", "/gen/1", id, FloodedGateway.KEY, FloodedGateway.DEADLINE_MS, "p", lines);
   }
 
   private static byte[] unfinishedHead(HeadShape shape) {
@@ -343,7 +343,7 @@
   private static String requestWithManyLines(String id) {
     String request =
         StoreContentWriter.request(
-            "GET", "/read/1", id, CrowdedGateway.KEY, CrowdedGateway.DEADLINE_MS, "");
+            "GET", "/read/1", id, FloodedGateway.KEY, FloodedGateway.DEADLINE_MS, "");
     return request.replaceFirst("\r\n\r\n$", "\r\n" + "a:\r\n".repeat(4_000) + "\r\n");
   }
 
@@ -352,8 +352,8 @@
         "POST",
         "/read/1",
         "c",
-        CrowdedGateway.KEY,
-        CrowdedGateway.DEADLINE_MS,
+        FloodedGateway.KEY,
+        FloodedGateway.DEADLINE_MS,
         "",
         "Transfer-Encoding: chunked");
   }
--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayMixedFloodTest.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayMixedFloodTest.java
@@ -1,7 +1,7 @@
 package org.galenapost.scenarios.soak;
 
-import static org.galenapost.scenarios.soak.CrowdedGateway.bytes;
-import static org.galenapost.scenarios.soak.CrowdedGateway.join;
+import static org.galenapost.scenarios.soak.FloodedGateway.bytes;
+import static org.galenapost.scenarios.soak.FloodedGateway.join;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -38,8 +38,8 @@
 
   @Test
   void smallProcessSurvives() throws IOException {
-    try (CrowdedGateway gateway = new CrowdedGateway(folder, CrowdedGateway.SMALL_PROCESS);
-        OddServer server = new OddServer(new LongAnswers())) {
+    try (FloodedGateway gateway = new FloodedGateway(folder, FloodedGateway.SMALL_PROCESS);
+        ScriptedServer server = new ScriptedServer(new LongAnswers())) {
       openAllKinds(gateway, server);
 
       gateway.assertSurvival();
@@ -48,8 +48,8 @@
 
   @Test
   void processAsDeployedStaysWithinTheSmallestHost() throws IOException {
-    try (CrowdedGateway gateway = new CrowdedGateway(folder, ProcessOptions.ofJvm(jvmOptions()));
-        OddServer server = new OddServer(new LongAnswers())) {
+    try (FloodedGateway gateway = new FloodedGateway(folder, ProcessOptions.ofJvm(jvmOptions()));
+        ScriptedServer server = new ScriptedServer(new LongAnswers())) {
       openAllKinds(gateway, server);
 
       gateway.assertSurvivalWithin(SMALLEST_HOST_KB);
@@ -69,15 +69,15 @@
         .toList();
   }
 
-  private static void openAllKinds(CrowdedGateway gateway, OddServer server) {
+  private static void openAllKinds(FloodedGateway gateway, ScriptedServer server) {
     gateway.replaceServers(StoreContentWriter.STREAM_SERVICE, server.port());
-    HeldConnections crowd = gateway.crowd();
+    MisbehavingClients clients = gateway.clients();
     int port = gateway.callerPort();
-    crowd.open(port, UPLOADS, Duration.ZERO, upload());
-    crowd.openWithSmallWindow(port, CALLERS, answeredRequest());
+    clients.open(port, UPLOADS, Duration.ZERO, upload());
+    clients.openWithSmallWindow(port, CALLERS, answeredRequest());
     for (HeadShape shape : HeadShape.values()) {
       byte[] head = join(bytes("GET /read/1 HTTP/1.1\r\n"), shape.lines(LINES_BYTES));
-      crowd.open(port, CALLERS, Duration.ZERO, head);
+      clients.open(port, CALLERS, Duration.ZERO, head);
     }
   }
 
@@ -87,8 +87,8 @@
             "POST",
             "/act/1",
             "u",
-            CrowdedGateway.KEY,
-            CrowdedGateway.DEADLINE_MS,
+            FloodedGateway.KEY,
+            FloodedGateway.DEADLINE_MS,
             "",
             "Content-Length: 4000000");
     return join(bytes(head), new byte[UPLOADED_BYTES]);
@@ -97,11 +97,11 @@
   private static byte[] answeredRequest() {
     return bytes(
         StoreContentWriter.request(
-            "POST", "/gen/1", "s", CrowdedGateway.KEY, CrowdedGateway.DEADLINE_MS, "p"));
+            "POST", "/gen/1", "s", FloodedGateway.KEY, FloodedGateway.DEADLINE_MS, "p"));
   }
 
   /** Long answers, of which every second one lacks its last byte. */
-  private static final class LongAnswers implements OddServer.Answer {
+  private static final class LongAnswers implements ScriptedServer.Answer {
 
     private static final String HEAD =
         "HTTP/1.1 200 OK\r\nX-Attempt-Id: s\r\nX-Response-Seal: seal-of-s\r\nContent-Length: ";
--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayUnreadAnswersTest.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayUnreadAnswersTest.java
@@ -1,7 +1,7 @@
 package org.galenapost.scenarios.soak;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.galenapost.scenarios.soak.CrowdedGateway.bytes;
+import static org.galenapost.scenarios.soak.FloodedGateway.bytes;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -36,20 +36,20 @@
       "HTTP/1.1 200 OK\r\nX-Attempt-Id: s\r\nX-Response-Seal: seal-of-s\r\n";
 
   @TempDir private Path folder;
-  private CrowdedGateway gateway;
-  private HeldConnections crowd;
-  private final List<OddServer> servers = new ArrayList<>();
+  private FloodedGateway gateway;
+  private MisbehavingClients clients;
+  private final List<ScriptedServer> servers = new ArrayList<>();
 
   @BeforeEach
   void start() {
-    gateway = new CrowdedGateway(folder, CrowdedGateway.SMALL_PROCESS);
-    crowd = gateway.crowd();
+    gateway = new FloodedGateway(folder, FloodedGateway.SMALL_PROCESS);
+    clients = gateway.clients();
   }
 
   @AfterEach
   void stop() throws IOException {
     gateway.close();
-    for (OddServer server : servers) {
+    for (ScriptedServer server : servers) {
       server.close();
     }
   }
@@ -57,7 +57,7 @@
   @Test
   void survivesUnreadAnswersAtReadyPort() throws IOException {
     byte[] requests = bytes("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n".repeat(PIPELINED_REQUESTS));
-    crowd.keepSending(gateway.daemon().ports().readiness(), ADMIN_CALLERS, requests);
+    clients.keepSending(gateway.daemon().ports().readiness(), ADMIN_CALLERS, requests);
 
     gateway.assertSurvival();
   }
@@ -65,7 +65,7 @@
   @Test
   void survivesUnreadAnswersAtOperatorPort() throws IOException {
     byte[] requests = bytes("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n".repeat(PIPELINED_REQUESTS));
-    crowd.keepSending(gateway.daemon().ports().operator(), ADMIN_CALLERS, requests);
+    clients.keepSending(gateway.daemon().ports().operator(), ADMIN_CALLERS, requests);
 
     gateway.assertSurvival();
   }
@@ -81,15 +81,15 @@
   void servesOthersWhileLongAnswersAreUnread() throws IOException {
     openUnreadLongAnswers();
 
-    gateway.assertServesAmidCrowd();
+    gateway.assertServesOthersDuringFlood();
   }
 
   /** Unread answers take memory of the daemon like those that are not complete yet. */
   @Test
   void countsUnreadAnswersAgainstTheRoomOfAllAnswers() throws IOException {
     openUnreadLongAnswers();
-    crowd.awaitSent();
-    ManagedProcess.pause(CrowdedGateway.SETTLE_TIME);
+    clients.awaitSent();
+    ManagedProcess.pause(FloodedGateway.SETTLE_TIME);
 
     assertThat(gateway.gauge("galenapost_gateway_answer_bytes_held"))
         .isBetween((double) ANSWER_BYTES, (double) MAX_ANSWERS_BYTES);
@@ -98,10 +98,10 @@
   private void openUnreadLongAnswers() throws IOException {
     byte[] answer =
         bytes(HEAD + "Content-Length: " + ANSWER_BYTES + "\r\n\r\n" + "x".repeat(ANSWER_BYTES));
-    OddServer server = new OddServer(output -> output.write(answer));
+    ScriptedServer server = new ScriptedServer(output -> output.write(answer));
     servers.add(server);
     gateway.replaceServers(StoreContentWriter.STREAM_SERVICE, server.port());
-    crowd.openWithSmallWindow(gateway.callerPort(), CALLERS, streamRequest());
+    clients.openWithSmallWindow(gateway.callerPort(), CALLERS, streamRequest());
   }
 
   @Test
@@ -115,18 +115,18 @@
   void servesOthersWhileStreamsAreUnread() throws IOException {
     openUnreadStreams();
 
-    gateway.assertServesAmidCrowd();
+    gateway.assertServesOthersDuringFlood();
   }
 
   private void openUnreadStreams() throws IOException {
     int[] ports = new int[STREAM_SERVERS];
     for (int i = 0; i < STREAM_SERVERS; i++) {
-      OddServer server = new OddServer(GatewayUnreadAnswersTest::streamWithoutEnd);
+      ScriptedServer server = new ScriptedServer(GatewayUnreadAnswersTest::streamWithoutEnd);
       servers.add(server);
       ports[i] = server.port();
     }
     gateway.replaceServers(StoreContentWriter.STREAM_SERVICE, ports);
-    crowd.openWithSmallWindow(gateway.callerPort(), STREAM_CALLERS, streamRequest());
+    clients.openWithSmallWindow(gateway.callerPort(), STREAM_CALLERS, streamRequest());
   }
 
   private static void streamWithoutEnd(OutputStream output) throws IOException {
@@ -144,7 +144,7 @@
             "POST",
             "/gen/1",
             "s",
-            CrowdedGateway.KEY,
+            FloodedGateway.KEY,
             Duration.ofSeconds(20).toMillis(),
             "p",
             StoreContentWriter.STREAM_HEADER));
--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/HeldConnections.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/MisbehavingClients.java
@@ -13,8 +13,8 @@
 import java.util.function.Supplier;
 import org.galenapost.scenarios.process.ManagedProcess;
 
-/** Connections of callers that do not behave, until they are closed together. */
-final class HeldConnections implements AutoCloseable {
+/** Clients that misbehave on their connections, until all are closed together. */
+final class MisbehavingClients implements AutoCloseable {
 
   /** Writes that the process does not read block; they end when the connections close. */
   private static final Duration WRITE_WAIT = Duration.ofSeconds(4);
@@ -28,7 +28,7 @@
   private final ExecutorService writers =
       Executors.newCachedThreadPool(
           task -> {
-            Thread thread = new Thread(task, "held-connection");
+            Thread thread = new Thread(task, "misbehaving-client");
             thread.setDaemon(true);
             return thread;
           });
--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/OddServer.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/ScriptedServer.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /** A server that answers each request with bytes of the test's choice, valid or not. */
-final class OddServer implements AutoCloseable {
+final class ScriptedServer implements AutoCloseable {
 
   private static final int BACKLOG = 400;
 
@@ -20,7 +20,7 @@
   private final Answer answer;
   private final Set<Socket> accepted = ConcurrentHashMap.newKeySet();
 
-  OddServer(Answer answer) throws IOException {
+  ScriptedServer(Answer answer) throws IOException {
     this.server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
     this.answer = answer;
     start(this::acceptAll);
@@ -66,7 +66,7 @@
   }
 
   private static void start(Runnable task) {
-    Thread thread = new Thread(task, "odd-server");
+    Thread thread = new Thread(task, "scripted-server");
     thread.setDaemon(true);
     thread.start();
   }
