Wait for servers and answers by what the gateway shows

It waited a fixed second for the gateway to learn of the scripted servers and half a second for their answers, so that it depended on the speed of the machine. That the servers came too late is the likely cause; the process's log was gone, and alone, beside six busy processes, the case held twice.

Change: the fixture waits until the gateway counts the servers that it should know, for 15 s at most, and the case until an answer is counted as unread; the bounds are checked after that as before. A gauge that does not come fails the test.

--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/FloodedGateway.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/FloodedGateway.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.function.DoublePredicate;
 import java.util.stream.Stream;
 import org.galenapost.scenarios.process.ManagedProcess;
 import org.galenapost.standins.gateway.RawHttpClient;
@@ -41,6 +42,7 @@
   private static final int MAX_HEAD_BYTES = 16_384;
   private static final String SHORT_BODY = "p".repeat(65_000);
   private static final int ANSWER_ATTEMPTS = 40;
+  private static final int GAUGE_POLLS = 60;
   private static final Duration ATTEMPT_PAUSE = Duration.ofMillis(250);
 
   private final SoakFleet fleet;
@@ -74,20 +76,34 @@
     return daemon.callerPort();
   }
 
-  /** Replaces the servers of a service by one at a port of the loopback address. */
-  void replaceServers(String service, int... ports) {
-    fleet.servers().stream()
-        .map(server -> server.currentInstance().instanceId())
-        .filter(id -> id.startsWith(service))
-        .forEach(fleet.content()::deregisterServer);
+  /** Replaces the servers of a service by ones at ports of the loopback address. */
+  void replaceServers(String service, int... ports) throws IOException {
+    List<String> replaced =
+        fleet.servers().stream()
+            .map(server -> server.currentInstance().instanceId())
+            .filter(id -> id.startsWith(service))
+            .toList();
+    replaced.forEach(fleet.content()::deregisterServer);
     for (int port : ports) {
       fleet
           .content()
           .registerServer("scripted-" + port, "127.0.0.1:" + port, service, "z1", "ready", "v1");
     }
+    int serverCount = fleet.servers().size() - replaced.size() + ports.length;
+    awaitGauge("galenapost_gateway_instances", value -> value == serverCount);
     ManagedProcess.pause(SETTLE_TIME.multipliedBy(2));
   }
 
+  /** Waits until a gauge has a value that meets a condition, and checks that it does. */
+  void awaitGauge(String name, DoublePredicate condition) throws IOException {
+    double value = gauge(name);
+    for (int poll = 0; poll < GAUGE_POLLS && !condition.test(value); poll++) {
+      ManagedProcess.pause(ATTEMPT_PAUSE);
+      value = gauge(name);
+    }
+    assertThat(value).as(name).matches(condition::test);
+  }
+
   /** Checks that the process lives, stays within its bounds and serves an ordinary caller. */
   void assertSurvival() throws IOException {
     assertSurvival(MAX_RESIDENT_KB, MAX_DESCRIPTORS);
--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayMixedFloodTest.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayMixedFloodTest.java
@@ -69,7 +69,8 @@
         .toList();
   }
 
-  private static void openAllKinds(FloodedGateway gateway, ScriptedServer server) {
+  private static void openAllKinds(FloodedGateway gateway, ScriptedServer server)
+      throws IOException {
     gateway.replaceServers(StoreContentWriter.STREAM_SERVICE, server.port());
     MisbehavingClients clients = gateway.clients();
     int port = gateway.callerPort();
--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayUnreadAnswersTest.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayUnreadAnswersTest.java
@@ -88,10 +88,12 @@
   @Test
   void countsUnreadAnswersAgainstTheRoomOfAllAnswers() throws IOException {
     openUnreadLongAnswers();
+    String heldBytes = "galenapost_gateway_answer_bytes_held";
+
+    gateway.awaitGauge(heldBytes, bytes -> bytes >= ANSWER_BYTES);
     clients.awaitSent();
     ManagedProcess.pause(FloodedGateway.SETTLE_TIME);
-
-    assertThat(gateway.gauge("galenapost_gateway_answer_bytes_held"))
+    assertThat(gateway.gauge(heldBytes))
         .isBetween((double) ANSWER_BYTES, (double) MAX_ANSWERS_BYTES);
   }
 
