Free the lines of a head when it gives up its room

Callers saw: a gateway process that exited, with all calls on it, when the servers of a service sent heads or trailers with very many short lines and no end on many connections at once.

Cause: a message that was dropped for others gave its room back to the budget at once, but its lines stayed in memory until its connection was closed. That is a task that runs after all connections with bytes to read, and each of them takes the room once more. Connections of callers are closed on the spot, since they are answered first.

Change: the account of a head clears its lines when it is dropped. A head that is completed all the same before its connection closes names no call any more, so that its send fails.

--- a/daemon/src/main/java/org/galenapost/daemon/net/HeadAccount.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/HeadAccount.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeadersFactory;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 
 /**
  * The memory that the heads of one connection take in a {@link HeadBudget}: the message that is
@@ -30,10 +31,10 @@
   private final HeadBudget budget;
   private final Runnable onEvicted;
   private final Deque<Long> completeBytes = new ArrayDeque<>();
+  private Optional<HttpHeaders> currentLines = Optional.empty();
   private long currentBytes;
   private long undecodedBytes;
   private boolean isInMessage;
-  private boolean hasLines;
   private boolean isAnswered;
   private boolean isClosed;
 
@@ -97,7 +98,7 @@
       beginMessage();
     }
     setUndecodedBytes(bytes);
-    if (bytes == 0 && isInMessage && !hasLines) {
+    if (bytes == 0 && isInMessage && currentLines.isEmpty()) {
       drop();
     }
   }
@@ -146,7 +147,12 @@
     return currentBytes;
   }
 
+  /**
+   * Gives up the room of the incomplete message. Its lines are freed here, since the connection is
+   * closed only after all others that have bytes to read, which would take the room once more.
+   */
   void evict() {
+    currentLines.ifPresent(HttpHeaders::clear);
     drop();
     onEvicted.run();
   }
@@ -162,7 +168,7 @@
     currentBytes = 0;
     undecodedBytes = 0;
     isInMessage = false;
-    hasLines = false;
+    currentLines = Optional.empty();
     budget.removeIncomplete(this);
   }
 
@@ -173,7 +179,7 @@
       headers.clear();
       throw new NoRoomForHeadException();
     }
-    hasLines = true;
+    currentLines = Optional.of(headers);
   }
 
   /** Creates headers that charge each line when the decoder adds it. */
--- a/daemon/src/test/java/org/galenapost/daemon/net/HeadBudgetTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/net/HeadBudgetTest.java
@@ -60,6 +60,25 @@
     assertThat(budget.refusedCount()).isEqualTo(1);
   }
 
+  /** Guards against lines that stay in memory until the connection is closed, which takes time. */
+  @Test
+  void evictedMessageFreesItsLinesAtOnce() {
+    HeadAccount first = account("first");
+    EmbeddedChannel channel = channel(first);
+    channel.writeInbound(bytes("GET / HTTP/1.1\r\n" + "a:\r\n".repeat(20)));
+    HeadAccount second = account("second");
+    second.beginMessage();
+    second.setUndecodedBytes(2_000);
+
+    channel.writeInbound(bytes("b:\r\n\r\n"));
+
+    HttpRequest request = channel.readInbound();
+    assertThat(evicted).containsExactly("first");
+    // The decoder itself keeps the last line until the next one comes.
+    assertThat(request.headers().size()).isLessThanOrEqualTo(2);
+    channel.finishAndReleaseAll();
+  }
+
   /** Guards against complete requests that are not counted while their calls run. */
   @Test
   void completeMessageKeepsItsRoomUntilItsCallEnds() {
