Rank calls that come back like all others

A caller that came back before the time that a refusal had named lost its turn to every call of its priority that had come later, at the daemon that had refused it, while it waited for room.

The queue no longer remembers who was refused. Order follows from priority, the turns of workspaces and arrival.

--- a/core/src/main/java/org/galenapost/core/dispatch/RoomQueue.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/RoomQueue.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
@@ -16,8 +15,8 @@
 
 /**
  * The calls of a daemon that wait until a server has the room that their priority may fill. More
- * urgent calls go first. Among equals, workspaces take turns, and calls that came back before the
- * time that a refusal named come last. Not safe for use by several threads.
+ * urgent calls go first. Among equals, workspaces take turns. A call that its caller repeats is a
+ * call like any other. Not safe for use by several threads.
  */
 public final class RoomQueue {
 
@@ -38,14 +37,10 @@
   private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(500);
   private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(10);
 
-  /** Refused calls whose early return is noticed; some seconds of refusals in a burst. */
-  private static final int MAX_REMEMBERED_REFUSALS = 1_024;
-
   private static final double NANOS_PER_S = 1e9;
 
   private static final Comparator<Ticket> ORDER =
       Comparator.comparingInt((Ticket ticket) -> ticket.waiter.priority())
-          .thenComparing(ticket -> ticket.isEarlyRepeat)
           .thenComparingLong(ticket -> ticket.turn)
           .thenComparingLong(ticket -> ticket.number);
 
@@ -53,13 +48,6 @@
   private final Scheduler scheduler;
   private final RandomSource random;
   private final Map<String, ServiceQueue> queues = new HashMap<>();
-  private final Map<String, Long> earliestReturnNanos =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-          return size() > MAX_REMEMBERED_REFUSALS;
-        }
-      };
   private long nextNumber;
   private boolean isCheckScheduled;
   private long startedCount;
@@ -71,7 +59,6 @@
    * @param service the service that it waits for
    * @param priority the priority; 0 is the highest
    * @param workspace the workspace; empty if the call has none
-   * @param digest equal for all attempts of the caller at this call
    * @param latestStartNanos until when it can be sent and answered in time, on the monotonic clock
    * @param tryStart sends the call if a server has room, and returns whether it no longer waits
    * @param onTooLate receives when the caller may come back if the call has waited for too long
@@ -80,7 +67,6 @@
       String service,
       int priority,
       String workspace,
-      String digest,
       long latestStartNanos,
       BooleanSupplier tryStart,
       Consumer<Duration> onTooLate) {}
@@ -107,7 +93,7 @@
    */
   public Optional<Ticket> enter(Waiter waiter) {
     ServiceQueue queue = queues.computeIfAbsent(waiter.service(), name -> new ServiceQueue());
-    Ticket ticket = new Ticket(waiter, queue, isEarlyRepeat(waiter), nextNumber++);
+    Ticket ticket = new Ticket(waiter, queue, nextNumber++);
     double waitS = (queue.tickets.headSet(ticket).size() + 1) / queue.startsPerS(clock.nanos());
     boolean isInTime =
         clock.nanos() + (long) (waitS * NANOS_PER_S) - waiter.latestStartNanos() <= 0;
@@ -128,11 +114,6 @@
     return Optional.of(ticket);
   }
 
-  private boolean isEarlyRepeat(Waiter waiter) {
-    Long untilNanos = earliestReturnNanos.get(waiter.digest());
-    return untilNanos != null && untilNanos - clock.nanos() > 0;
-  }
-
   private void refuse(Ticket ticket) {
     refusedCount++;
     double waitS = (ticket.queue.tickets.size() + 1) / ticket.queue.startsPerS(clock.nanos());
@@ -142,7 +123,6 @@
             ? MIN_RETRY_AFTER
             : estimate.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : estimate;
     Duration retryAfter = Duration.ofNanos((long) (bounded.toNanos() * (1 + random.nextDouble())));
-    earliestReturnNanos.put(ticket.waiter.digest(), clock.nanos() + retryAfter.toNanos());
     ticket.waiter.onTooLate().accept(retryAfter);
   }
 
@@ -195,14 +175,12 @@
 
     private final Waiter waiter;
     private final ServiceQueue queue;
-    private final boolean isEarlyRepeat;
     private final long turn;
     private final long number;
 
-    private Ticket(Waiter waiter, ServiceQueue queue, boolean isEarlyRepeat, long number) {
+    private Ticket(Waiter waiter, ServiceQueue queue, long number) {
       this.waiter = waiter;
       this.queue = queue;
-      this.isEarlyRepeat = isEarlyRepeat;
       this.number = number;
       this.turn =
           Math.max(queue.startedTurn, queue.lastTurns.getOrDefault(waiter.workspace(), 0L) + 1);
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/RoomWait.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/RoomWait.java
@@ -88,7 +88,6 @@
                     call.service().name(),
                     call.priority(),
                     call.workspace().map(GatewayWorkspace::name).orElse(""),
-                    call.digest().hex(),
                     latestStartNanos(fullChoice),
                     this::tryStart,
                     this::rejectTooLate));
