Refuse calls at once when no limited server takes them in time

While every server of a service names a limit of 0, a permit is granted every 4 s. A daemon that was denied one pauses the server for at most 0.5 s, so that it notices the end of the limit. Since calls wait as long as their callers' time allows, a call with 2.5 s left waited for the end of pause after pause, although the daemon had been told that the next permit was further away.

The pauses now keep apart when a server is asked again and when it is expected to take a call. A call that has less time left than that is refused at once and told the expected time.

--- a/core/src/main/java/org/galenapost/core/dispatch/RequestedPauses.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/RequestedPauses.java
@@ -23,6 +23,7 @@
 
   private final MonotonicClock clock;
   private final Map<InstanceKey, Long> endNanos = new HashMap<>();
+  private final Map<InstanceKey, Long> expectedNanos = new HashMap<>();
 
   /** Creates pauses without entries. */
   public RequestedPauses(MonotonicClock clock) {
@@ -36,6 +37,19 @@
     endNanos.merge(instance, end, (held, added) -> added - held > 0 ? added : held);
   }
 
+  /**
+   * Records a pause after which a server is asked again, although it is expected to take a call
+   * only later.
+   *
+   * @param instance the server
+   * @param pause the time until it is asked again
+   * @param expected the time until it is expected to take a call
+   */
+  void recordWithExpectation(InstanceKey instance, Duration pause, Duration expected) {
+    record(instance, pause);
+    expectedNanos.put(instance, clock.nanos() + expected.toNanos());
+  }
+
   /** Returns whether a server is in a pause. */
   public boolean isPaused(InstanceKey instance) {
     return remainingNanos(instance) > 0;
@@ -47,16 +61,24 @@
   }
 
   /**
-   * Returns the time until the first of the servers ends its pause; empty if one of them is in no
-   * pause, or if there are none.
+   * Returns the time until the first of the servers is expected to take a call; empty if one of
+   * them is in no pause, or if there are none.
    */
   public Optional<Duration> untilFirstEnds(Collection<ServerInstance> instances) {
     return instances.stream()
-        .map(instance -> Duration.ofNanos(remainingNanos(instance.key())))
+        .map(instance -> Duration.ofNanos(expectedNanos(instance.key())))
         .min(Duration::compareTo)
         .filter(remaining -> !remaining.isZero());
   }
 
+  private long expectedNanos(InstanceKey instance) {
+    long remaining = remainingNanos(instance);
+    Long expected = expectedNanos.get(instance);
+    return remaining == 0 || expected == null
+        ? remaining
+        : Math.max(remaining, expected - clock.nanos());
+  }
+
   private long remainingNanos(InstanceKey instance) {
     Long end = endNanos.get(instance);
     return end == null ? 0 : Math.max(0, end - clock.nanos());
@@ -65,5 +87,6 @@
   /** Removes the pauses of all servers except the given ones. */
   public void retainOnly(Set<InstanceKey> instances) {
     endNanos.keySet().retainAll(instances);
+    expectedNanos.keySet().retainAll(instances);
   }
 }
--- a/core/src/main/java/org/galenapost/core/dispatch/SendPermits.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/SendPermits.java
@@ -167,7 +167,7 @@
 
   private void deny(InstanceKey server, Duration wait, Consumer<Boolean> onResult) {
     deniedCount++;
-    pauses.record(server, wait.compareTo(MAX_PAUSE) < 0 ? wait : MAX_PAUSE);
+    pauses.recordWithExpectation(server, wait.compareTo(MAX_PAUSE) < 0 ? wait : MAX_PAUSE, wait);
     onResult.accept(false);
   }
 
