Let calls wait while their daemon reaches no server

A daemon that had lost its links to all servers refused a call as soon as the other daemons had not taken it, with seconds left to its caller, although such cuts last for seconds. A call that was handed over is still refused at once, so that the first daemon can try another one.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallHandover.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallHandover.java
@@ -1,13 +1,11 @@
 package org.galenapost.daemon.gateway.run;
 
-import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import org.galenapost.core.instance.InstanceKey;
 import org.galenapost.core.verdict.Refusal;
 import org.galenapost.core.verdict.RefusalReason;
-import org.galenapost.daemon.gateway.call.ResponseHead;
 
 /**
  * Decides whether one call is handed over to another daemon, because this one reaches no server of
@@ -24,7 +22,6 @@
   private final GatewayContext context;
   private final AcceptedCall call;
   private final Set<InstanceKey> triedDaemons = new HashSet<>();
-  private Optional<Duration> retryAfter = Optional.empty();
   private int failedConnects;
 
   CallHandover(GatewayContext context, AcceptedCall call) {
@@ -51,26 +48,20 @@
     return context.serverReach().isReached(call.service().name());
   }
 
-  /** Returns a refusal if neither this daemon nor those that it asked can run the call now. */
+  /**
+   * Returns a refusal if this daemon cannot run a call that another one handed over, so that the
+   * other one can try elsewhere while the caller waits.
+   */
   Optional<Refusal> refusal() {
-    boolean wasAsked = call.handover().isPresent() || !triedDaemons.isEmpty();
-    if (isReached() || !wasAsked) {
+    if (isReached() || call.handover().isEmpty()) {
       return Optional.empty();
     }
-    Refusal refusal =
-        Refusal.notRun(RefusalReason.NO_SERVER, "no server of the service can be reached");
-    return Optional.of(retryAfter.map(refusal::withRetryAfter).orElse(refusal));
+    return Optional.of(
+        Refusal.notRun(RefusalReason.NO_SERVER, "no server of the service can be reached"));
   }
 
   /** Records that a server accepted no connection. */
   void recordFailedConnect() {
     failedConnects++;
   }
-
-  /** Records that a daemon did not run the call. */
-  void recordRefusal(ResponseHead head) {
-    if (head.retryAfter().isPresent()) {
-      retryAfter = head.retryAfter();
-    }
-  }
 }
