Scale placement with the work of the call instead of usual prompts

A call with a short prompt waited at a server of its cell behind up to 2 s of reading while servers of other cells were idle, and less urgent calls found engines with 2 s of unread prompts free enough whatever their own prompts were. The bounds were the reading time of two prompts of one data sheet; so were the difference at which engines count as equal, the duration of a call to a plain service and the time over which callers return after a pause.

These bounds now follow from the call's own prompt and from the measured answers of its service. Callers return after a pause over as long again, so they come back no faster than they came. For prompts of 8,000 tokens at 8 per ms the bounds are the same as before.

--- a/core/src/main/java/org/galenapost/core/dispatch/Headroom.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/Headroom.java
@@ -3,11 +3,11 @@
 /** Decides whether a server keeps enough free for more urgent calls if it gets a call. */
 final class Headroom {
 
-  /**
-   * The unread prompts that less urgent calls may leave at an engine, as reading time. Two usual
-   * prompts keep it busy until the daemons have learnt that room appeared.
-   */
-  private static final double QUEUE_MS = 2_000;
+  /** The unread prompts like its own that a less urgent call may find at an engine. */
+  private static final double UNREAD_PROMPTS = 2;
+
+  /** Keeps an engine busy until the daemons have learnt from use reports that room appeared. */
+  private static final double MIN_QUEUE_MS = 100;
 
   private Headroom() {}
 
@@ -30,7 +30,8 @@
     boolean isMemoryLeft =
         use.memoryTokens() + demand.memoryTokens()
             <= share * EngineWait.MAX_MEMORY_SHARE * memoryTokens;
-    boolean isQueueLeft = use.unreadTokens() / tokensPerMs <= share * QUEUE_MS;
+    double queueMs = Math.max(MIN_QUEUE_MS, UNREAD_PROMPTS * demand.promptTokens() / tokensPerMs);
+    boolean isQueueLeft = use.unreadTokens() / tokensPerMs <= share * queueMs;
     return isMemoryLeft && isQueueLeft && use.calls() < share * slots;
   }
 }
--- a/core/src/main/java/org/galenapost/core/dispatch/InstanceChooser.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/InstanceChooser.java
@@ -29,8 +29,8 @@
    */
   private static final double OTHER_DATA_CENTRE_SLOT_PENALTY = 0.5;
 
-  /** The expected wait at a plain service without free slots, about the duration of one call. */
-  private static final double FULL_SLOTS_WAIT_MS = 100;
+  /** The assumed duration of a call to a plain service that has not answered yet. */
+  private static final double UNKNOWN_CALL_MS = 100;
 
   private static final double OTHER_DATA_CENTRE_PENALTY_MS = 3;
 
@@ -42,19 +42,18 @@
   private static final double TIE_BREAK_JITTER_MS = 2;
 
   /**
-   * The difference of waits that engines count as equal: a quarter of the time in which a usual
-   * prompt is read.
+   * Waits count as equal at engines if they differ by less than this part of the call's reading.
    */
-  private static final double NEAR_EQUAL_ENGINES_MS = 250;
-
-  /** The time over which callers return after a pause; a few calls of a plain service. */
-  private static final double RETURN_SPREAD_MS = 300;
+  private static final double NEAR_EQUAL_READING_SHARE = 0.25;
 
   /**
-   * The wait in the local cell above which servers of other cells are considered: the processing
-   * time of two prompts of the engine data sheet.
+   * The number of calls like the one at hand that may be ahead of it in the local cell before
+   * servers of other cells, whose use is not known, are considered.
    */
-  private static final double OTHER_CELL_PENALTY_MS = 2_000;
+  private static final double CALLS_AHEAD_BEFORE_OTHER_CELLS = 2;
+
+  /** A shorter wait may be over before the use reports tell of it, which are 50 ms late. */
+  private static final double MIN_OTHER_CELL_PENALTY_MS = 100;
 
   private final String dataCentre;
   private final InstanceDirectory directory;
@@ -64,6 +63,7 @@
   private final RequestedPauses pauses;
   private final Predicate<InstanceKey> isBrittle;
   private final ServerSpeeds speeds;
+  private final RunTimes runTimes;
   private final RandomSource random;
   private final NearEqualPick nearEqualPick;
   private final StartRamp startRamp;
@@ -96,6 +96,7 @@
     this.isOwnCell = isOwnCell;
     this.useTracker = observations.useTracker();
     this.speeds = observations.speeds();
+    this.runTimes = observations.runTimes();
     this.health = observations.health();
     this.pauses = observations.pauses();
     this.isBrittle = observations.isBrittle();
@@ -132,12 +133,13 @@
 
   /**
    * Returns when to come back to a service whose servers all asked for a pause: after the first
-   * pause, spread so that the callers do not return together. Empty if a server is in no pause.
+   * pause, spread over as long again, so that callers return no faster than they came. Empty if a
+   * server is in no pause.
    */
   public Optional<Duration> untilPauseEnds(TargetService service) {
     return pauses
         .untilFirstEnds(directory.ready(service.name()))
-        .map(pause -> pause.plusMillis(Math.round(RETURN_SPREAD_MS * random.nextDouble())));
+        .map(pause -> pause.plus(Duration.ofNanos((long) (pause.toNanos() * random.nextDouble()))));
   }
 
   /**
@@ -180,7 +182,9 @@
     }
     Optional<Choice> ownChoice = shortestWait(service, ownCell, demand);
     boolean isWaitAcceptable =
-        ownChoice.filter(choice -> choice.expectedWaitMs() < OTHER_CELL_PENALTY_MS).isPresent();
+        ownChoice
+            .filter(choice -> choice.expectedWaitMs() < otherCellPenaltyMs(service, demand))
+            .isPresent();
     return isWaitAcceptable || ownCell.size() == allowed.size()
         ? ownChoice
         : shortestWait(service, allowed, demand);
@@ -256,7 +260,8 @@
         candidates.stream().map(instance -> estimate(service, instance, demand)).toList();
     return mayHerd
         ? PromptPreference.select(
-            estimates, waits -> nearEqualPick.pick(waits, NEAR_EQUAL_ENGINES_MS))
+            estimates,
+            waits -> nearEqualPick.pick(waits, NEAR_EQUAL_READING_SHARE * readMs(demand)))
         : PromptPreference.select(estimates, this::pickShortest);
   }
 
@@ -291,12 +296,12 @@
         service
             .engineMemory()
             .map(memory -> engineWaitMs(memory.tokens(), instance, use, demand))
-            .orElseGet(() -> slotWaitMs(instance, use, isOwnDataCentre));
+            .orElseGet(() -> slotWaitMs(service, instance, use, isOwnDataCentre));
     if (!isOwnDataCentre) {
       waitMs += OTHER_DATA_CENTRE_PENALTY_MS;
     }
     if (!isOwnCell.test(instance)) {
-      waitMs += OTHER_CELL_PENALTY_MS;
+      waitMs += otherCellPenaltyMs(service, demand);
     }
     if (health.isAvoided(instance.key())) {
       waitMs += AVOIDED_SERVER_PENALTY_MS;
@@ -311,11 +316,26 @@
     return EngineWait.waitMs(memoryTokens, speeds.tokensPerMs(instance.key()), use, demand);
   }
 
-  private static double slotWaitMs(
-      ServerInstance instance, ServerUse use, boolean isOwnDataCentre) {
+  /** A server without free slots has a place when one of its calls ends. */
+  private double slotWaitMs(
+      TargetService service, ServerInstance instance, ServerUse use, boolean isOwnDataCentre) {
     double usedShare = (double) use.calls() / Math.max(1, instance.slots());
     double penalty = isOwnDataCentre ? 0 : OTHER_DATA_CENTRE_SLOT_PENALTY;
-    return (usedShare + penalty) * FULL_SLOTS_WAIT_MS;
+    return (usedShare + penalty) * callMs(service);
+  }
+
+  private double callMs(TargetService service) {
+    long measuredMs = runTimes.ofAnswer(service.name()).total().toMillis();
+    return measuredMs > 0 ? measuredMs : UNKNOWN_CALL_MS;
+  }
+
+  private static double readMs(CallDemand demand) {
+    return demand.promptTokens() / ServerSpeeds.NOMINAL_TOKENS_PER_MS;
+  }
+
+  private double otherCellPenaltyMs(TargetService service, CallDemand demand) {
+    double ownMs = service.engineMemory().isPresent() ? readMs(demand) : callMs(service);
+    return Math.max(MIN_OTHER_CELL_PENALTY_MS, CALLS_AHEAD_BEFORE_OTHER_CELLS * ownMs);
   }
 
   /**
--- a/core/src/main/java/org/galenapost/core/dispatch/PlacementUrgency.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/PlacementUrgency.java
@@ -14,8 +14,8 @@
   public static final PlacementUrgency FULL = new PlacementUrgency(1);
 
   /**
-   * What the least urgent calls leave free. A quarter of an engine's memory holds two usual
-   * prompts, which arrive there in the time until a run ends.
+   * What the least urgent calls leave free, so that more urgent ones need not wait for the end of a
+   * run.
    */
   private static final double LARGEST_HEADROOM = 0.25;
 
--- a/core/src/main/java/org/galenapost/core/dispatch/ServerObservations.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/ServerObservations.java
@@ -9,6 +9,7 @@
  *
  * @param useTracker the current use of each server
  * @param speeds the measured speed of each server
+ * @param runTimes how long servers work on calls
  * @param health the recent failures of each server
  * @param pauses the pauses that servers asked for
  * @param isBrittle whether a server must not be sent a call that it has no room for
@@ -16,6 +17,7 @@
 public record ServerObservations(
     ServerUseTracker useTracker,
     ServerSpeeds speeds,
+    RunTimes runTimes,
     InstanceHealth health,
     RequestedPauses pauses,
     Predicate<InstanceKey> isBrittle) {
@@ -24,6 +26,7 @@
   public ServerObservations {
     Objects.requireNonNull(useTracker, "useTracker");
     Objects.requireNonNull(speeds, "speeds");
+    Objects.requireNonNull(runTimes, "runTimes");
     Objects.requireNonNull(health, "health");
     Objects.requireNonNull(pauses, "pauses");
     Objects.requireNonNull(isBrittle, "isBrittle");
--- a/core/src/test/java/org/galenapost/core/dispatch/HeadroomTest.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/HeadroomTest.java
@@ -37,6 +37,17 @@
     assertThat(isLeft(new ServerUse(64, 40_000, 88_000), PlacementUrgency.FULL)).isTrue();
   }
 
+  /** Guards against short prompts that wait at an engine behind work of many times their own. */
+  @Test
+  void leavesAQueueInProportionToTheWorkOfTheCall() {
+    CallDemand shortPrompt = new CallDemand(2_000, 70).withUrgency(LOWEST);
+
+    assertThat(Headroom.isLeft(88_000, 64, 8, new ServerUse(4, 3_000, 30_000), shortPrompt))
+        .isTrue();
+    assertThat(Headroom.isLeft(88_000, 64, 8, new ServerUse(4, 3_100, 30_000), shortPrompt))
+        .isFalse();
+  }
+
   /** Guards against a call that no server would ever take. */
   @Test
   void admitsAnyCallToAnIdleEngine() {
--- a/core/src/test/java/org/galenapost/core/dispatch/PlacementModel.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/PlacementModel.java
@@ -193,6 +193,7 @@
               new ServerObservations(
                   useTracker,
                   speeds,
+                  new RunTimes(),
                   new InstanceHealth(time),
                   new RequestedPauses(time),
                   server -> false),
--- a/core/src/test/java/org/galenapost/core/dispatch/ReturningSessionsTest.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/ReturningSessionsTest.java
@@ -217,6 +217,7 @@
               new ServerObservations(
                   daemon.useTracker,
                   new ServerSpeeds(daemon.bus, time, time),
+                  new RunTimes(),
                   new InstanceHealth(time),
                   new RequestedPauses(time),
                   server -> false),
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/ServerStateWiring.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/ServerStateWiring.java
@@ -90,7 +90,8 @@
             daemon.dataCentre(),
             directory,
             cells::contains,
-            new ServerObservations(useTracker, speeds, health, pauses, brittleServers::isBrittle),
+            new ServerObservations(
+                useTracker, speeds, runTimes, health, pauses, brittleServers::isBrittle),
             random,
             prefersHeldPrompts ? new HeldPromptSavings(heldPrompts) : PromptSavings.NONE,
             cells::hasManyDaemons);
