Follow the stated times of hosts and servers in the deploy file

The template passes on the stated times, and the settings derive theirs: three quarters of the time that a server goes on serving, and what the notice leaves of the time until the process is killed.

GatewayTemplateTest.keepsWithinTheStatedTimesOfHostsAndServers and stopsTakingCallsInTimeIfItMayStopForASecondOnly failed before.

--- a/daemon/src/main/java/org/galenapost/daemon/settings/GatewayTimings.java
+++ b/daemon/src/main/java/org/galenapost/daemon/settings/GatewayTimings.java
@@ -18,15 +18,35 @@
   private static final Duration MIN = Duration.ofMillis(10);
   private static final Duration MAX = Duration.ofHours(1);
   private static final Duration DEFAULT_CONNECT_TIMEOUT = Duration.ofMillis(150);
-  private static final Duration DEFAULT_LAPSED_USE = Duration.ofMillis(1_500);
+  private static final Duration DEFAULT_SERVER_DRAIN = Duration.ofMillis(2_000);
   private static final Duration DEFAULT_DRAIN_NOTICE = Duration.ofMillis(2_500);
-  private static final Duration DEFAULT_DRAIN_LIMIT = Duration.ofMillis(5_000);
+  private static final Duration DEFAULT_STOP_LIMIT = Duration.ofMillis(7_800);
+
+  /** A call that is sent last needs the rest of the time to reach the server. */
+  private static final double LAPSED_USE_SHARE = 0.75;
+
+  /** Lets the process end before it is killed. */
+  private static final Duration STOP_MARGIN = Duration.ofMillis(300);
 
   static GatewayTimings bind(SectionReader section) {
+    Duration serverDrain =
+        section.durationMs("server_drain_ms", DEFAULT_SERVER_DRAIN, Duration.ZERO, MAX);
+    Duration lapsedUse = Duration.ofMillis((long) (LAPSED_USE_SHARE * serverDrain.toMillis()));
+    Duration stopLimit =
+        section.durationSeconds("stop_limit_s", DEFAULT_STOP_LIMIT, STOP_MARGIN, MAX);
+    Duration drainNotice =
+        atMost(
+            section.durationMs("drain_notice_ms", DEFAULT_DRAIN_NOTICE, Duration.ZERO, MAX),
+            stopLimit.minus(STOP_MARGIN));
+    Duration drainLimit = stopLimit.minus(STOP_MARGIN).minus(drainNotice);
     return new GatewayTimings(
         section.durationMs("connect_timeout_ms", DEFAULT_CONNECT_TIMEOUT, MIN, MAX),
-        section.durationMs("lapsed_use_ms", DEFAULT_LAPSED_USE, Duration.ZERO, MAX),
-        section.durationMs("drain_notice_ms", DEFAULT_DRAIN_NOTICE, Duration.ZERO, MAX),
-        section.durationMs("drain_limit_ms", DEFAULT_DRAIN_LIMIT, Duration.ZERO, MAX));
+        section.durationMs("lapsed_use_ms", lapsedUse, Duration.ZERO, MAX),
+        drainNotice,
+        section.durationMs("drain_limit_ms", drainLimit, Duration.ZERO, MAX));
+  }
+
+  private static Duration atMost(Duration duration, Duration limit) {
+    return duration.compareTo(limit) < 0 ? duration : limit;
   }
 }
