Follow the stated check-in of servers after refused connections

A server whose host refuses connections was avoided for 4 s, and for as long no stream went on there. The figure was three check-ins of one deployment, after which the store has removed the entry of a server that ended; with other check-ins, streams would be refused for too long or go to a later start of the server whose entry has not arrived.

The template passes on the interval of check-ins and the time is derived from it. With 1,200 ms it is 4 s as before.

--- a/core/src/main/java/org/galenapost/core/dispatch/InstanceHealth.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/InstanceHealth.java
@@ -18,22 +18,25 @@
   private static final Duration INITIAL_AVOID_INTERVAL = Duration.ofMillis(300);
   private static final int MAX_INTERVAL_DOUBLINGS = 3;
 
-  /**
-   * If a host refuses connections, the server no longer runs there. A restarted server has another
-   * key, so that a long interval does not affect it.
-   */
-  private static final Duration AVOID_INTERVAL_AFTER_REFUSAL = Duration.ofSeconds(4);
-
   private static final double FAILURE_WEIGHT = 0.2;
   private static final double SUCCESS_WEIGHT = 0.1;
 
   private final MonotonicClock clock;
+  private final Duration entryTimeout;
   private final Map<InstanceKey, FailureState> states = new HashMap<>();
   private Consumer<InstanceKey> onLoss = instance -> {};
 
-  /** Creates a tracker without recorded failures. */
-  public InstanceHealth(MonotonicClock clock) {
+  /**
+   * Creates a tracker without recorded failures.
+   *
+   * @param clock elapsed time
+   * @param entryTimeout the time after which the entry of a server that has ended is gone. If a
+   *     host refuses connections, its server no longer runs, and a restarted server has another
+   *     key.
+   */
+  public InstanceHealth(MonotonicClock clock, Duration entryTimeout) {
     this.clock = clock;
+    this.entryTimeout = entryTimeout;
   }
 
   /** Sets the listener that is notified of each recorded loss and refused connection. */
@@ -64,7 +67,7 @@
     FailureState state = stateOf(instance);
     state.hasRefused = true;
     state.refusedNanos = clock.nanos();
-    return avoid(state, AVOID_INTERVAL_AFTER_REFUSAL);
+    return avoid(state, entryTimeout);
   }
 
   /**
@@ -75,7 +78,7 @@
     FailureState state = states.get(instance);
     return state != null
         && state.hasRefused
-        && clock.since(state.refusedNanos).compareTo(AVOID_INTERVAL_AFTER_REFUSAL) < 0;
+        && clock.since(state.refusedNanos).compareTo(entryTimeout) < 0;
   }
 
   private boolean avoid(FailureState state, Duration interval) {
--- a/core/src/test/java/org/galenapost/core/dispatch/HeldPromptChoiceTest.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/HeldPromptChoiceTest.java
@@ -35,7 +35,7 @@
   private final VirtualTime time = new VirtualTime();
   private final Random random = new Random(1);
   private final ServerUseTracker useTracker = new ServerUseTracker();
-  private final InstanceHealth health = new InstanceHealth(time);
+  private final InstanceHealth health = new InstanceHealth(time, Duration.ofSeconds(4));
   private final RequestedPauses pauses = new RequestedPauses(time);
   private final Set<InstanceKey> brittle = new HashSet<>();
   private final HeldPrompts held = new HeldPrompts(time);
--- a/core/src/test/java/org/galenapost/core/dispatch/InstanceChooserTest.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/InstanceChooserTest.java
@@ -35,7 +35,7 @@
   private final VirtualTime time = new VirtualTime();
   private Predicate<ServerInstance> ownCell = instance -> true;
   private final ServerUseTracker useTracker = new ServerUseTracker();
-  private final InstanceHealth health = new InstanceHealth(time);
+  private final InstanceHealth health = new InstanceHealth(time, Duration.ofSeconds(4));
   private final RequestedPauses pauses = new RequestedPauses(time);
   private final Set<InstanceKey> brittle = new HashSet<>();
   private final ServerSpeeds speeds = new ServerSpeeds(new SilentBus(), time, time);
@@ -261,7 +261,7 @@
   void broadcastsServerFailuresToOtherDaemons() {
     FakeNetwork network = new FakeNetwork(time, Duration.ofMillis(1));
     InstanceStatusBroadcaster own =
-        broadcaster(new InstanceHealth(time), directory, network.join("d1"));
+        broadcaster(new InstanceHealth(time, Duration.ofSeconds(4)), directory, network.join("d1"));
     InstanceStatusBroadcaster other = broadcaster(health, directory, network.join("d2"));
     own.start();
     other.start();
@@ -280,7 +280,7 @@
   void doesNotAvoidServersForTheFailuresOfDaemonThatReachesNone() {
     FakeNetwork network = new FakeNetwork(time, Duration.ofMillis(1));
     InstanceStatusBroadcaster cut =
-        broadcaster(new InstanceHealth(time), directory, network.join("d1"));
+        broadcaster(new InstanceHealth(time, Duration.ofSeconds(4)), directory, network.join("d1"));
     InstanceStatusBroadcaster other = broadcaster(health, directory, network.join("d2"));
     other.start();
     ServerInstance server = add("e1", "pool", "dc1");
--- a/core/src/test/java/org/galenapost/core/dispatch/PlacementModel.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/PlacementModel.java
@@ -194,7 +194,7 @@
                   useTracker,
                   speeds,
                   new RunTimes(),
-                  new InstanceHealth(time),
+                  new InstanceHealth(time, Duration.ofSeconds(4)),
                   new RequestedPauses(time),
                   server -> false),
               random::nextDouble,
--- a/core/src/test/java/org/galenapost/core/dispatch/ReturningSessionsTest.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/ReturningSessionsTest.java
@@ -218,7 +218,7 @@
                   daemon.useTracker,
                   new ServerSpeeds(daemon.bus, time, time),
                   new RunTimes(),
-                  new InstanceHealth(time),
+                  new InstanceHealth(time, Duration.ofSeconds(4)),
                   new RequestedPauses(time),
                   server -> false),
               jitter::nextDouble,
--- a/core/src/test/java/org/galenapost/core/handover/HandoverPeersTest.java
+++ b/core/src/test/java/org/galenapost/core/handover/HandoverPeersTest.java
@@ -139,7 +139,7 @@
               time,
               () -> 0.5,
               useTracker,
-              new InstanceHealth(time),
+              new InstanceHealth(time, Duration.ofSeconds(4)),
               () -> new HandoverStatus("10.0.0.1", 80, dataCentre, unreached, isAccepting),
               (daemonId, services) -> unreachedElsewhere.add(services));
       peers.start();
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/ClassArchiveTraining.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/ClassArchiveTraining.java
@@ -120,7 +120,7 @@
             new SocketAddressSetting(IP, platformPort), CALL_TIMEOUT, CALL_TIMEOUT, true),
         GatewayLimits.defaults(),
         new RepeatSettings(1, CALL_TIMEOUT, 1),
-        new GatewayTimings(CALL_TIMEOUT, CALL_TIMEOUT, Duration.ZERO, Duration.ZERO),
+        new GatewayTimings(CALL_TIMEOUT, CALL_TIMEOUT, CALL_TIMEOUT, Duration.ZERO, Duration.ZERO),
         Optional.empty(),
         new PlacementSettings(true));
   }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -379,6 +379,7 @@
         new ServerStateWiring(
             settings.daemon(),
             settings.placement(),
+            settings.timings().serverEntryTimeout(),
             directory,
             cells,
             bus,
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/ServerStateWiring.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/ServerStateWiring.java
@@ -1,5 +1,6 @@
 package org.galenapost.daemon.gateway;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import org.galenapost.core.cell.CellBus;
@@ -62,6 +63,7 @@
   ServerStateWiring(
       DaemonSettings daemon,
       PlacementSettings placement,
+      Duration serverEntryTimeout,
       InstanceDirectory directory,
       FleetCells cells,
       PeerBus bus,
@@ -72,7 +74,7 @@
     this.directory = directory;
     this.cellBus = cellBus;
     this.scheduler = scheduler;
-    this.health = new InstanceHealth(clock);
+    this.health = new InstanceHealth(clock, serverEntryTimeout);
     this.statusBroadcaster = new InstanceStatusBroadcaster(health, directory, cellBus, bus);
     this.pauses = new RequestedPauses(clock);
     this.limits = new ServerLimits(bus, clock, GatewayLog.serverLimits());
--- a/daemon/src/main/java/org/galenapost/daemon/settings/GatewayTimings.java
+++ b/daemon/src/main/java/org/galenapost/daemon/settings/GatewayTimings.java
@@ -8,17 +8,30 @@
  * @param connectTimeout how long opening a connection to a server may take
  * @param lapsedUse how long a server whose entry was removed may still receive calls if no other
  *     server can
+ * @param serverEntryTimeout the time after which the entry of a server that has ended is gone
  * @param drainNotice how long a draining daemon is not ready but still accepts requests, so that
  *     the balancer can remove it first
  * @param drainLimit how long a draining daemon then waits for requests in progress
  */
 public record GatewayTimings(
-    Duration connectTimeout, Duration lapsedUse, Duration drainNotice, Duration drainLimit) {
+    Duration connectTimeout,
+    Duration lapsedUse,
+    Duration serverEntryTimeout,
+    Duration drainNotice,
+    Duration drainLimit) {
 
   private static final Duration MIN = Duration.ofMillis(10);
   private static final Duration MAX = Duration.ofHours(1);
   private static final Duration DEFAULT_CONNECT_TIMEOUT = Duration.ofMillis(150);
   private static final Duration DEFAULT_SERVER_DRAIN = Duration.ofMillis(2_000);
+  private static final Duration DEFAULT_SERVER_CHECK_IN = Duration.ofMillis(1_200);
+
+  /** The store removes the entry of a server that has missed as many check-ins. */
+  private static final int MISSED_CHECK_INS = 3;
+
+  /** The time until a removed entry has reached all daemons. */
+  private static final Duration REMOVAL_DELAY = Duration.ofMillis(400);
+
   private static final Duration DEFAULT_DRAIN_NOTICE = Duration.ofMillis(2_500);
   private static final Duration DEFAULT_STOP_LIMIT = Duration.ofMillis(7_800);
 
@@ -32,6 +45,8 @@
     Duration serverDrain =
         section.durationMs("server_drain_ms", DEFAULT_SERVER_DRAIN, Duration.ZERO, MAX);
     Duration lapsedUse = Duration.ofMillis((long) (LAPSED_USE_SHARE * serverDrain.toMillis()));
+    Duration serverCheckIn =
+        section.durationMs("server_check_in_ms", DEFAULT_SERVER_CHECK_IN, MIN, MAX);
     Duration stopLimit =
         section.durationSeconds("stop_limit_s", DEFAULT_STOP_LIMIT, STOP_MARGIN, MAX);
     Duration drainNotice =
@@ -42,6 +57,7 @@
     return new GatewayTimings(
         section.durationMs("connect_timeout_ms", DEFAULT_CONNECT_TIMEOUT, MIN, MAX),
         section.durationMs("lapsed_use_ms", lapsedUse, Duration.ZERO, MAX),
+        serverCheckIn.multipliedBy(MISSED_CHECK_INS).plus(REMOVAL_DELAY),
         drainNotice,
         section.durationMs("drain_limit_ms", drainLimit, Duration.ZERO, MAX));
   }
