--- a/core/src/main/java/org/galenapost/core/dispatch/EngineWait.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/EngineWait.java
@@ -3,10 +3,10 @@
 /** Estimates how long a call waits at an engine. */
 final class EngineWait {
 
-  /** The increase in time to first event for each running call, from the engine data sheet. */
+  /** The increase in time to first event for each running call, whose steps the engine shares. */
   static final double RUNNING_CALL_PENALTY_MS = 10;
 
-  /** The expected wait at a full engine, about the duration of one run. */
+  /** The assumed wait at an engine whose memory is full, until one of its runs ends. */
   static final double FULL_ENGINE_WAIT_MS = 5_000;
 
   /**
--- a/core/src/main/java/org/galenapost/core/dispatch/InstanceChooser.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/InstanceChooser.java
@@ -34,7 +34,10 @@
 
   private static final double OTHER_DATA_CENTRE_PENALTY_MS = 3;
 
-  /** The share of failed calls that is not penalised. Some calls fail on any server. */
+  /**
+   * The share of failed calls that is not penalised. Some calls fail on any server, and a few of
+   * them in a row are no sign of a faulty one.
+   */
   private static final double TOLERATED_FAILURE_SHARE = 0.4;
 
   private static final double FAILURE_SHARE_PENALTY_MS = 3_000;
--- a/core/src/main/java/org/galenapost/core/dispatch/RetryLoans.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/RetryLoans.java
@@ -24,7 +24,7 @@
   /** Asking more daemons finds a retry when most shares are spent, but delays the refusal. */
   private static final int MAX_LENDERS_ASKED = 4;
 
-  /** Several round trips; a stream has to go on within 700 ms, most of which detection uses. */
+  /** Several round trips; a daemon that needs longer is as good as lost to a waiting reader. */
   private static final Duration REPLY_TIMEOUT = Duration.ofMillis(40);
 
   private final SendBudget budget;
--- a/core/src/main/java/org/galenapost/core/dispatch/RoomQueue.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/RoomQueue.java
@@ -34,7 +34,10 @@
   /** Assumed before calls have started from the queue, so that an estimate exists. */
   private static final double MIN_STARTS_PER_S = 1;
 
-  private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(500);
+  /** Nothing can have changed before the next check. */
+  private static final Duration MIN_RETRY_AFTER = CHECK_PERIOD;
+
+  /** Bounds an estimate that rests on few starts. */
   private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(10);
 
   private static final double NANOS_PER_S = 1e9;
--- a/core/src/main/java/org/galenapost/core/dispatch/ServerSpeeds.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/ServerSpeeds.java
@@ -19,15 +19,15 @@
  */
 public final class ServerSpeeds {
 
-  /** Prompt processing speed of an engine, from the engine data sheet. */
+  /** The assumed speed of an engine that was not measured lately. */
   public static final double NOMINAL_TOKENS_PER_MS = 8;
 
   /** A server gets a prompt every few seconds, so that a few of them count at any time. */
   private static final Duration HALF_LIFE = Duration.ofSeconds(8);
 
   /**
-   * The tokens read at nominal speed that are added to each sum: half of a usual prompt, so that
-   * one run moves the estimate by two thirds of the way.
+   * The tokens read at nominal speed that are added to each sum, so that the estimate needs a run
+   * or two of some thousand tokens to move.
    */
   private static final double PRIOR_TOKENS = 4_000;
 
--- a/core/src/main/java/org/galenapost/core/rollout/ServiceRollouts.java
+++ b/core/src/main/java/org/galenapost/core/rollout/ServiceRollouts.java
@@ -127,7 +127,13 @@
     };
   }
 
-  /** Counts a send to a version. */
+  /**
+   * Counts a send to a version.
+   *
+   * @param isFirst whether it is the first send of its request. The limit of a version on trial is
+   *     a share of the requests to the service, and a caller's next attempt is a request of its
+   *     own.
+   */
   RolloutSend onSend(String version, String route, boolean isFirst) {
     if (isFirst) {
       current.ifPresent(trial -> trial.budget().recordRequest());
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallRetries.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallRetries.java
@@ -6,10 +6,10 @@
 /** Counts the sends of one call and decides whether it may be sent again. */
 final class CallRetries {
 
-  /** Limit on sends that servers refuse without running the call; a refusal costs them little. */
+  /** Servers that have refused a call in such number show that the service has no room. */
   private static final int MAX_REFUSED_SENDS = 8;
 
-  /** Limit on runs whose servers were cut off; more suggest that the links of a daemon are. */
+  /** More runs that are cut off suggest that the call or the links of the daemon are the cause. */
   private static final int MAX_CUT_OFF_RUNS = 4;
 
   /** Spreads the connection attempts of a call over time while most servers accept none. */
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/SilenceDetector.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/SilenceDetector.java
@@ -13,10 +13,10 @@
 final class SilenceDetector {
 
   /**
-   * Callers tolerate pauses of 700 ms between events. Half of that is the budget for detecting an
-   * unreachable server; the rest is left for resuming the stream on another one. A server whose
-   * host still accepts connections is lost after 4 s without progress, or after 20 s before its
-   * first event, since an engine may queue a request.
+   * A server is suspected after a pause of several events and probed on another connection, which a
+   * live host accepts within a few round trips, so that a reader does not wait long for one that is
+   * unreachable. A server whose host still accepts connections is lost after 4 s without progress,
+   * or after 20 s before its first event, since an engine may queue a request.
    */
   private static final LossSettings SETTINGS =
       new LossSettings(
