Spread returns after a pause over the time of a run only

The spread is the measured time of a run of the service, in which the places become free one after the other, and no longer than the pause.

--- a/core/src/main/java/org/galenapost/core/dispatch/InstanceChooser.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/InstanceChooser.java
@@ -29,7 +29,7 @@
    */
   private static final double OTHER_DATA_CENTRE_SLOT_PENALTY = 0.5;
 
-  /** The assumed duration of a call to a plain service that has not answered yet. */
+  /** The assumed duration of a call to a service that has not answered yet. */
   private static final double UNKNOWN_CALL_MS = 100;
 
   private static final double OTHER_DATA_CENTRE_PENALTY_MS = 3;
@@ -136,13 +136,13 @@
 
   /**
    * Returns when to come back to a service whose servers all asked for a pause: after the first
-   * pause, spread over as long again, so that callers return no faster than they came. Empty if a
-   * server is in no pause.
+   * pause, spread over the time of one run, in which places become free one after the other. Empty
+   * if a server is in no pause.
    */
   public Optional<Duration> untilPauseEnds(TargetService service) {
     return pauses
         .untilFirstEnds(directory.ready(service.name()))
-        .map(pause -> pause.plus(Duration.ofNanos((long) (pause.toNanos() * random.nextDouble()))));
+        .map(pause -> pause.plus(returnSpread(service, pause)));
   }
 
   /**
@@ -328,10 +328,16 @@
   }
 
   private double callMs(TargetService service) {
-    long measuredMs = runTimes.ofAnswer(service.name()).total().toMillis();
+    long measuredMs = runTimes.typical(service.name()).toMillis();
     return measuredMs > 0 ? measuredMs : UNKNOWN_CALL_MS;
   }
 
+  /** Callers need not return more slowly than they came. */
+  private Duration returnSpread(TargetService service, Duration pause) {
+    double spreadMs = Math.min(callMs(service), pause.toMillis());
+    return Duration.ofMillis(Math.round(spreadMs * random.nextDouble()));
+  }
+
   private static double readMs(CallDemand demand) {
     return demand.promptTokens() / ServerSpeeds.NOMINAL_TOKENS_PER_MS;
   }
--- a/core/src/main/java/org/galenapost/core/dispatch/RunTimes.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/RunTimes.java
@@ -25,7 +25,9 @@
    * @param elapsed the time from the send to the answer
    */
   public void onAnswer(String service, Duration elapsed) {
-    timesOf(service).answerMs.add(elapsed.toNanos() / NANOS_PER_MS);
+    ServiceTimes times = timesOf(service);
+    times.answerMs.add(elapsed.toNanos() / NANOS_PER_MS);
+    times.runMs.add(elapsed.toNanos() / NANOS_PER_MS);
   }
 
   /**
@@ -43,6 +45,12 @@
     ServiceTimes times = timesOf(service);
     times.eventsPerToken.add((double) events / outputTokens);
     times.msPerEvent.add(sinceFirstEvent.toNanos() / NANOS_PER_MS / events);
+    times.runMs.add(sinceFirstEvent.toNanos() / NANOS_PER_MS);
+  }
+
+  /** Returns the average time of the calls of a service; zero if it has not answered yet. */
+  public Duration typical(String service) {
+    return duration(timesOf(service).runMs.mean);
   }
 
   /** Returns the work of a call that is no stream. */
@@ -76,6 +84,7 @@
   }
 
   private static final class ServiceTimes {
+    private final MovingAverage runMs = new MovingAverage();
     private final MovingAverage answerMs = new MovingAverage();
     private final MovingAverage eventsPerToken = new MovingAverage();
     private final MovingAverage msPerEvent = new MovingAverage();
