--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -301,7 +301,6 @@
     ServerStateWiring servers = serverStateWiring(directory, cells, cellBus);
     ConnectProbes probes = new ConnectProbes(loop, serverAddresses);
     handover = handoverWiring(directory, probes, cellBus, servers, state);
-    handover.addGauges(metrics);
     PromptPartQuarantine partQuarantine = promptPartQuarantine();
     SendBudget budget = sendBudget();
     IntSupplier liveDaemonCount = () -> bus.livePeerIds().size() + 1;
@@ -398,19 +397,22 @@
       CellBus cellBus,
       ServerStateWiring servers,
       DaemonState state) {
-    return new HandoverWiring(
-        settings,
-        state,
-        () -> callerListener.map(HttpListener::port).orElse(0),
-        directory,
-        probes,
-        cellBus,
-        servers.useTracker(),
-        servers.health(),
-        servers.statusBroadcaster(),
-        scheduler,
-        clock,
-        random::nextDouble);
+    HandoverWiring wiring =
+        new HandoverWiring(
+            settings,
+            state,
+            () -> callerListener.map(HttpListener::port).orElse(0),
+            directory,
+            probes,
+            cellBus,
+            servers.useTracker(),
+            servers.health(),
+            servers.statusBroadcaster(),
+            scheduler,
+            clock,
+            random::nextDouble);
+    wiring.addGauges(metrics);
+    return wiring;
   }
 
   private ServerConnectionPool serverConnectionPool() {
