Keep unread streams open until their bytes are counted

Cause: in the daemon's log of a failing run all streams ended with deadline-exceeded, after 3.1 to 3.9 s. The routes of the test have a timeout of 3 s, so the check raced with the end of the streams that it counts. The streams named 20 s, but the route's timeout is shorter.

Change: in this case the routes, and the requests, allow 40 s. The bounds of the check are the same.

--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/FloodedGateway.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/FloodedGateway.java
@@ -50,7 +50,12 @@
   private final MisbehavingClients clients = new MisbehavingClients();
 
   FloodedGateway(Path folder, ProcessOptions options) {
+    this(folder, options, Duration.ofMillis(StoreContentWriter.ROUTE_TIMEOUT_MS));
+  }
+
+  FloodedGateway(Path folder, ProcessOptions options, Duration routeTimeout) {
     fleet = new SoakFleet(folder, 1, options);
+    fleet.content().setRouteTimeoutMs(routeTimeout.toMillis());
     fleet.content().setLimit("max_header_bytes", MAX_HEAD_BYTES);
     fleet.content().setLimit("max_body_bytes", 4_194_304);
     fleet.content().setLimit("header_timeout_ms", 5_000);
--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayUnreadAnswersTest.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayUnreadAnswersTest.java
@@ -29,6 +29,10 @@
   private static final int STREAM_CALLERS = 200;
   private static final int STREAM_SERVERS = 4;
   private static final int ANSWER_BYTES = 1_000_000;
+
+  /** Longer than all waits of a case, so that the daemon ends no stream before the check. */
+  private static final Duration STREAM_TIME = Duration.ofSeconds(40);
+
   private static final int MIN_UNREAD_BYTES = 1_000_000;
   private static final int MAX_ANSWERS_BYTES = 48 * 1024 * 1024 / 8;
   private static final int EVENT_BYTES = 1_000;
@@ -47,6 +51,12 @@
     clients = gateway.clients();
   }
 
+  private void restart(Duration routeTimeout) {
+    gateway.close();
+    gateway = new FloodedGateway(folder, FloodedGateway.SMALL_PROCESS, routeTimeout);
+    clients = gateway.clients();
+  }
+
   @AfterEach
   void stop() throws IOException {
     gateway.close();
@@ -88,6 +98,7 @@
   /** Streams without end stay unread, while the system takes over what is left of an answer. */
   @Test
   void countsUnreadAnswersAgainstTheRoomOfAllAnswers() throws IOException {
+    restart(STREAM_TIME);
     openUnreadStreams();
     String heldBytes = "galenapost_gateway_answer_bytes_held";
 
@@ -148,7 +159,7 @@
             "/gen/1",
             "s",
             FloodedGateway.KEY,
-            Duration.ofSeconds(20).toMillis(),
+            STREAM_TIME.toMillis(),
             "p",
             StoreContentWriter.STREAM_HEADER));
   }
