Name the estimates of run times by what they return

RunTimes.typical, ofAnswer and ofStream did not say which time or work they return. They are meanRun, workOfAnswer and workOfStream now; no behaviour changes.

--- a/core/src/main/java/org/galenapost/core/dispatch/InstanceChooser.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/InstanceChooser.java
@@ -328,7 +328,7 @@
   }
 
   private double callMs(TargetService service) {
-    long measuredMs = runTimes.typical(service.name()).toMillis();
+    long measuredMs = runTimes.meanRun(service.name()).toMillis();
     return measuredMs > 0 ? measuredMs : UNKNOWN_CALL_MS;
   }
 
--- a/core/src/main/java/org/galenapost/core/dispatch/RunTimes.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/RunTimes.java
@@ -49,12 +49,12 @@
   }
 
   /** Returns the average time of the calls of a service; zero if it has not answered yet. */
-  public Duration typical(String service) {
+  public Duration meanRun(String service) {
     return duration(timesOf(service).runMs.mean);
   }
 
   /** Returns the work of a call that is no stream. */
-  public WorkLeft ofAnswer(String service) {
+  public WorkLeft workOfAnswer(String service) {
     return new WorkLeft(duration(timesOf(service).answerMs.mean), Duration.ZERO);
   }
 
@@ -66,7 +66,8 @@
    * @param tokensPerMs the speed at which the prompt is read
    * @param eventsDone the number of events that the caller has
    */
-  public WorkLeft ofStream(String service, CallDemand demand, double tokensPerMs, long eventsDone) {
+  public WorkLeft workOfStream(
+      String service, CallDemand demand, double tokensPerMs, long eventsDone) {
     ServiceTimes times = timesOf(service);
     double events = demand.outputTokens() * times.eventsPerToken.mean;
     double eventsLeft = Math.max(0, events - eventsDone);
--- a/core/src/test/java/org/galenapost/core/dispatch/RunTimesTest.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/RunTimesTest.java
@@ -14,8 +14,8 @@
   /** Guards against an assumption that turns calls of a new service away. */
   @Test
   void knowsNoWorkOfAServiceThatHasNotAnswered() {
-    assertThat(times.ofAnswer("app")).isEqualTo(WorkLeft.UNKNOWN);
-    assertThat(times.ofStream("pool", new CallDemand(0, 500), TOKENS_PER_MS, 0))
+    assertThat(times.workOfAnswer("app")).isEqualTo(WorkLeft.UNKNOWN);
+    assertThat(times.workOfStream("pool", new CallDemand(0, 500), TOKENS_PER_MS, 0))
         .isEqualTo(WorkLeft.UNKNOWN);
   }
 
@@ -25,7 +25,7 @@
     times.onAnswer("app", Duration.ofMillis(40));
     times.onAnswer("other", Duration.ofMillis(900));
 
-    assertThat(times.ofAnswer("app").total()).isEqualTo(Duration.ofMillis(30));
+    assertThat(times.workOfAnswer("app").total()).isEqualTo(Duration.ofMillis(30));
   }
 
   /** Guards against an estimate that keeps the speed of long ago. */
@@ -38,7 +38,7 @@
       times.onAnswer("app", Duration.ofMillis(200));
     }
 
-    assertThat(times.ofAnswer("app").total()).isGreaterThan(Duration.ofMillis(180));
+    assertThat(times.workOfAnswer("app").total()).isGreaterThan(Duration.ofMillis(180));
   }
 
   /** Guards against one run time for all streams, whatever their prompts and answers need. */
@@ -46,7 +46,7 @@
   void scalesTheWorkOfAStreamWithItsPromptAndItsTokens() {
     times.onStream("pool", 1_000, 200, Duration.ofSeconds(5));
 
-    WorkLeft work = times.ofStream("pool", new CallDemand(16_000, 500), TOKENS_PER_MS, 0);
+    WorkLeft work = times.workOfStream("pool", new CallDemand(16_000, 500), TOKENS_PER_MS, 0);
 
     assertThat(work.untilFirstEvent()).isEqualTo(Duration.ofSeconds(2));
     assertThat(work.afterFirstEvent()).isEqualTo(Duration.ofMillis(2_500));
@@ -57,9 +57,9 @@
   void countsOnlyTheEventsThatAStreamStillLacks() {
     times.onStream("pool", 1_000, 200, Duration.ofSeconds(5));
 
-    assertThat(times.ofStream("pool", new CallDemand(0, 1_000), TOKENS_PER_MS, 180).total())
+    assertThat(times.workOfStream("pool", new CallDemand(0, 1_000), TOKENS_PER_MS, 180).total())
         .isEqualTo(Duration.ofMillis(500));
-    assertThat(times.ofStream("pool", new CallDemand(0, 1_000), TOKENS_PER_MS, 300).total())
+    assertThat(times.workOfStream("pool", new CallDemand(0, 1_000), TOKENS_PER_MS, 300).total())
         .isEqualTo(Duration.ZERO);
   }
 }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallTiming.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallTiming.java
@@ -78,12 +78,12 @@
     return isStream()
         ? context
             .runTimes()
-            .ofStream(
+            .workOfStream(
                 call.service().name(),
                 call.head().demand(),
                 context.speeds().averageTokensPerMs(),
                 relay.offset())
-        : context.runTimes().ofAnswer(call.service().name());
+        : context.runTimes().workOfAnswer(call.service().name());
   }
 
   private boolean isStream() {
