Expect the measured time of a run at engines without memory

Seen: the wait at an engine without free memory counted as 5 s and more, whatever the runs of its service take. A less urgent call with fewer seconds left was refused at such engines although a run of half a second would have made room for it, and calls went to engines with a longer queue.

Cause: EngineWait.FULL_ENGINE_WAIT_MS, the duration of a run of one data sheet, was part of the expected time to the first event, from which RoomWait takes until when a call can be sent.

Change: the wait is the mean run that this daemon measured at the service (one second until it has measured any). Copies of a run's memory used the same figure as their bound; they need free memory at a server that is not avoided, and say so.

--- a/core/src/main/java/org/galenapost/core/dispatch/EngineWait.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/EngineWait.java
@@ -6,9 +6,6 @@
   /** The increase in time to first event for each running call, whose steps the engine shares. */
   static final double RUNNING_CALL_PENALTY_MS = 10;
 
-  /** The assumed wait at an engine whose memory is full, until one of its runs ends. */
-  static final double FULL_ENGINE_WAIT_MS = 5_000;
-
   /**
    * The share of an engine's memory that placement fills. The rest is reserved for longer answers.
    */
@@ -25,16 +22,27 @@
    * @param tokensPerMs the speed at which the engine reads prompts
    * @param use the use of the engine
    * @param demand the resources that the call needs
+   * @param runMs the time that a run takes, after which an engine without free memory has some, in
+   *     milliseconds
    */
-  static double waitMs(long memoryTokens, double tokensPerMs, ServerUse use, CallDemand demand) {
+  static double waitMs(
+      long memoryTokens, double tokensPerMs, ServerUse use, CallDemand demand, double runMs) {
     double readMs = (use.unreadTokens() + demand.promptTokens()) / tokensPerMs;
     double nominalReadMs = demand.promptTokens() / ServerSpeeds.NOMINAL_TOKENS_PER_MS;
     double waitMs = readMs - nominalReadMs + use.calls() * RUNNING_CALL_PENALTY_MS;
-    double excessTokens =
-        use.memoryTokens() + demand.memoryTokens() - MAX_MEMORY_SHARE * memoryTokens;
+    double excessTokens = excessTokens(memoryTokens, use, demand);
     if (excessTokens > 0) {
-      waitMs += FULL_ENGINE_WAIT_MS * (1 + excessTokens / memoryTokens);
+      waitMs += runMs * (1 + excessTokens / memoryTokens);
     }
     return waitMs;
   }
+
+  /** Returns whether a call fits into the part of an engine's memory that placement fills. */
+  static boolean hasFreeMemory(long memoryTokens, ServerUse use, CallDemand demand) {
+    return excessTokens(memoryTokens, use, demand) <= 0;
+  }
+
+  private static double excessTokens(long memoryTokens, ServerUse use, CallDemand demand) {
+    return use.memoryTokens() + demand.memoryTokens() - MAX_MEMORY_SHARE * memoryTokens;
+  }
 }
--- a/core/src/main/java/org/galenapost/core/dispatch/HeldPromptSavings.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/HeldPromptSavings.java
@@ -27,9 +27,7 @@
     return service
         .engineMemory()
         .map(EngineMemory::tokens)
-        .filter(
-            tokens ->
-                use.memoryTokens() + demand.memoryTokens() <= EngineWait.MAX_MEMORY_SHARE * tokens)
+        .filter(tokens -> EngineWait.hasFreeMemory(tokens, use, demand))
         .map(
             tokens ->
                 heldPrompts.expectedTokens(
--- a/core/src/main/java/org/galenapost/core/dispatch/InstanceChooser.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/InstanceChooser.java
@@ -32,6 +32,9 @@
   /** The assumed duration of a call to a service that has not answered yet. */
   private static final double UNKNOWN_CALL_MS = 100;
 
+  /** The assumed duration of a run at an engine of a service that has not answered yet. */
+  private static final double UNKNOWN_RUN_MS = 1_000;
+
   private static final double OTHER_DATA_CENTRE_PENALTY_MS = 3;
 
   /**
@@ -163,11 +166,21 @@
             directory.ready(service.name()),
             demand.withPromptParts(List.of()),
             instance ->
-                constraint.allows(instance) && !instance.dataCentre().equals(runner.dataCentre()))
-        .filter(choice -> choice.expectedWaitMs() < EngineWait.FULL_ENGINE_WAIT_MS)
+                constraint.allows(instance)
+                    && !instance.dataCentre().equals(runner.dataCentre())
+                    && canHoldCopy(service, instance, demand))
         .map(Choice::instance);
   }
 
+  private boolean canHoldCopy(TargetService service, ServerInstance instance, CallDemand demand) {
+    ServerUse use = useTracker.total(instance);
+    return !health.isAvoided(instance.key())
+        && service
+            .engineMemory()
+            .map(memory -> EngineWait.hasFreeMemory(memory.tokens(), use, demand))
+            .orElse(true);
+  }
+
   private Optional<Choice> chooseAmong(
       TargetService service,
       Collection<ServerInstance> candidates,
@@ -298,7 +311,7 @@
     double waitMs =
         service
             .engineMemory()
-            .map(memory -> engineWaitMs(memory.tokens(), instance, use, demand))
+            .map(memory -> engineWaitMs(service, memory.tokens(), instance, demand))
             .orElseGet(() -> slotWaitMs(service, instance, use, isOwnDataCentre));
     if (!isOwnDataCentre) {
       waitMs += OTHER_DATA_CENTRE_PENALTY_MS;
@@ -315,8 +328,13 @@
   }
 
   private double engineWaitMs(
-      long memoryTokens, ServerInstance instance, ServerUse use, CallDemand demand) {
-    return EngineWait.waitMs(memoryTokens, speeds.tokensPerMs(instance.key()), use, demand);
+      TargetService service, long memoryTokens, ServerInstance instance, CallDemand demand) {
+    return EngineWait.waitMs(
+        memoryTokens,
+        speeds.tokensPerMs(instance.key()),
+        useTracker.total(instance),
+        demand,
+        measuredRunMs(service, UNKNOWN_RUN_MS));
   }
 
   /** A server without free slots has a place when one of its calls ends. */
@@ -328,8 +346,12 @@
   }
 
   private double callMs(TargetService service) {
+    return measuredRunMs(service, UNKNOWN_CALL_MS);
+  }
+
+  private double measuredRunMs(TargetService service, double unknownMs) {
     long measuredMs = runTimes.meanRun(service.name()).toMillis();
-    return measuredMs > 0 ? measuredMs : UNKNOWN_CALL_MS;
+    return measuredMs > 0 ? measuredMs : unknownMs;
   }
 
   /** Callers need not return more slowly than they came. */
--- a/core/src/test/java/org/galenapost/core/dispatch/InstanceChooserTest.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/InstanceChooserTest.java
@@ -174,6 +174,23 @@
         .contains(20.0);
   }
 
+  /**
+   * Guards against callers that are sent away for a wait that runs of their service do not take.
+   */
+  @Test
+  void expectsTheMeasuredTimeOfARunAtAnEngineWithoutFreeMemory() {
+    ServerInstance full = add("e1", "pool", "dc1");
+    ServerInstance busy = add("e2", "pool", "dc1");
+    useTracker.reserve(full.key(), new ServerUse(0, 0, 71_000));
+    useTracker.reserve(busy.key(), new ServerUse(0, 8_000, 8_700));
+
+    runTimes.onStream("pool", 700, 100, Duration.ofMillis(400));
+    assertThat(choose(ENGINES, DEMAND)).contains(full);
+
+    runTimes.onStream("pool", 700, 100, Duration.ofMillis(4_000));
+    assertThat(choose(ENGINES, DEMAND)).contains(busy);
+  }
+
   @Test
   void placesCopiesInAnotherDataCentreThanTheirRun() {
     ServerInstance runner = add("e1", "pool", "dc1");
--- a/core/src/test/java/org/galenapost/core/dispatch/PlacementModel.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/PlacementModel.java
@@ -38,6 +38,7 @@
   private static final Duration USE_DELAY = Duration.ofMillis(50);
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
   private static final Duration RUN = Duration.ofMillis(3_000);
+  private static final int OUTPUT_TOKENS = 700;
 
   private final VirtualTime time = new VirtualTime();
   private final FakeNetwork network = new FakeNetwork(time, Duration.ofMillis(1));
@@ -87,7 +88,7 @@
       double pauseMs = -Math.log(1 - random.nextDouble()) * 1_000 / callsPerS;
       time.advance(Duration.ofNanos((long) (pauseMs * 1_000_000)));
       elapsedMs += pauseMs;
-      daemons.get(random.nextInt(DAEMONS)).call(new CallDemand(promptTokens(), 700));
+      daemons.get(random.nextInt(DAEMONS)).call(new CallDemand(promptTokens(), OUTPUT_TOKENS));
     }
   }
 
@@ -111,7 +112,7 @@
       callsByPriority.merge(priority, 1, Integer::sum);
       PlacementUrgency urgency =
           hasHeadroom ? PlacementUrgency.of(priority, Set.of(0, 1, 2)) : PlacementUrgency.FULL;
-      CallDemand demand = new CallDemand(promptTokens(), 700).withUrgency(urgency);
+      CallDemand demand = new CallDemand(promptTokens(), OUTPUT_TOKENS).withUrgency(urgency);
       daemons.get(random.nextInt(DAEMONS)).callOrWait(demand, priority);
     }
     time.advance(TIMEOUT);
@@ -128,7 +129,7 @@
 
   /** Lets one call arrive at each daemon at the same moment. */
   void playAtOnce() {
-    daemons.forEach(daemon -> daemon.call(new CallDemand(promptTokens(), 700)));
+    daemons.forEach(daemon -> daemon.call(new CallDemand(promptTokens(), OUTPUT_TOKENS)));
   }
 
   /** The prompts of the page: 200 shared tokens and about 8,000 of their own, up to 14,400. */
@@ -172,6 +173,7 @@
         new InstanceDirectory(
             time, new PlatformReachability(time, is -> {}), Duration.ofSeconds(1), change -> {});
     private final ServerSpeeds speeds;
+    private final RunTimes runTimes = new RunTimes();
     private final InstanceChooser chooser;
     private final RoomQueue roomQueue = new RoomQueue(time, time, random::nextDouble);
 
@@ -193,7 +195,7 @@
               new ServerObservations(
                   useTracker,
                   speeds,
-                  new RunTimes(),
+                  runTimes,
                   new InstanceHealth(time, Duration.ofSeconds(4)),
                   new RequestedPauses(time),
                   server -> false),
@@ -267,10 +269,15 @@
             record.accept(wait.toNanos() / 1e6);
             reservation.markPromptProcessed();
             speeds.onFirstEvent(server.key(), ahead, demand.promptTokens(), wait);
-            time.schedule(RUN, reservation::release);
+            time.schedule(RUN, () -> end(reservation));
           });
     }
 
+    private void end(ServerUseTracker.Reservation reservation) {
+      reservation.release();
+      runTimes.onStream("pool", OUTPUT_TOKENS, OUTPUT_TOKENS, RUN);
+    }
+
     /** The decision before speeds were measured: unread tokens at nominal speed, and the jitter. */
     private ServerInstance previousChoice(CallDemand demand) {
       return directory.ready("pool").stream()
