--- a/review/src-2/rig.py
+++ b/review/src-2/rig.py
@@ -575,9 +575,10 @@
     async def run():
         return await asyncio.wait_for(play(rig), 110)
     status = 2
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     try:
         status = 1 if asyncio.run(run()) else 0
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # A fault of the case itself must not count as a broken rule.
         rig.record.line("the case could not run: %r" % error)
     finally:
         rig.record.line("exit status %d" % status)
