Search each byte of an incomplete event once

A server that sends one event without end in chunks of four bytes hangs the gateways that relay its streams.

Cause: a thread dump in the hang shows the event loop in EventSplitter.next. For each chunk it searched the incomplete event for a line end from its first byte on, so that an event of 1 MiB in chunks of four bytes costs 10^11 steps.

Change: the splitter keeps between parts how far it has searched, where the last line begins and whether a line with fields has been seen.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/EventSplitter.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/EventSplitter.java
@@ -8,7 +8,8 @@
 
 /**
  * Splits a stream of server-sent events into complete events. Buffers an incomplete event until the
- * rest of it arrives. Blank lines between events belong to the event that follows them.
+ * rest of it arrives, and searches each byte of it only once. Blank lines between events belong to
+ * the event that follows them.
  */
 final class EventSplitter {
 
@@ -21,6 +22,15 @@
 
   private final ByteBuf pending = Unpooled.buffer();
 
+  /** The bytes of the incomplete event that have been searched for the end of a line. */
+  private int searchedBytes;
+
+  /** The bytes of the incomplete event before its last line. */
+  private int completeLineBytes;
+
+  /** Whether a complete line of the incomplete event is not blank. */
+  private boolean hasFields;
+
   /**
    * Appends received bytes; does not release the buffer.
    *
@@ -37,29 +47,37 @@
 
   /** Returns the next complete event with its closing blank line, or null if there is none. */
   ByteBuf next() {
-    int lineStart = pending.readerIndex();
-    int end = pending.writerIndex();
-    boolean hasFields = false;
-    while (lineStart < end) {
-      int lineEnd = pending.forEachByte(lineStart, end - lineStart, ByteProcessor.FIND_LF);
+    int eventStart = pending.readerIndex();
+    while (searchedBytes < pending.readableBytes()) {
+      int searchStart = eventStart + searchedBytes;
+      int lineEnd =
+          pending.forEachByte(
+              searchStart, pending.writerIndex() - searchStart, ByteProcessor.FIND_LF);
       if (lineEnd < 0) {
+        searchedBytes = pending.readableBytes();
         return null;
       }
-      boolean isBlank = isBlank(lineStart, lineEnd);
+      boolean isBlank = isBlank(eventStart + completeLineBytes, lineEnd);
+      completeLineBytes = lineEnd + 1 - eventStart;
+      searchedBytes = completeLineBytes;
       if (isBlank && hasFields) {
-        return pending.readBytes(lineEnd + 1 - pending.readerIndex());
+        return take(completeLineBytes);
       }
       hasFields = hasFields || !isBlank;
-      lineStart = lineEnd + 1;
     }
     return null;
   }
 
+  private ByteBuf take(int length) {
+    searchedBytes = 0;
+    completeLineBytes = 0;
+    hasFields = false;
+    return pending.readBytes(length);
+  }
+
   /** Returns the blank lines that follow the last event, or null if there are none. */
   ByteBuf trailingBlankLines() {
-    return pending.isReadable() && !hasPartialEvent()
-        ? pending.readBytes(pending.readableBytes())
-        : null;
+    return pending.isReadable() && !hasPartialEvent() ? take(pending.readableBytes()) : null;
   }
 
   private boolean isBlank(int start, int end) {
