Attribute losses in time that grows with the parts of a request

After requests whose prompt has 1,202 parts, one of which crashes servers, no gateway answers any caller.

Cause: thread dumps of all three gateways show the event loop in PartLosses.isExplainedByOther. It ran for each part of a request and each loss, went over all suspect parts of the loss, looked each up in the list of the request's parts and counted its losses anew: the third power of the number of parts.

Change: losses are found by part (SuspectIndex). Clearing parts and forgetting old losses cost as much as what they remove; the suspects are no longer counted again for each loss that is forgotten.

--- /dev/null
+++ b/core/src/main/java/org/galenapost/core/quarantine/SuspectIndex.java
@@ -0,0 +1,65 @@
+package org.galenapost.core.quarantine;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Finds the losses for which a part of a prompt is suspect. Not safe for use by several threads.
+ */
+final class SuspectIndex {
+
+  private static final int EXPECTED_LOSSES = 1;
+
+  private final Map<String, List<PartLoss>> lossesByPart = new HashMap<>();
+  private int suspectCount;
+
+  /** Makes a part suspect of a loss and returns whether it was not. */
+  boolean add(String partId, PartLoss loss) {
+    boolean isNew = loss.suspectPartIds().add(partId);
+    if (isNew) {
+      lossesByPart.computeIfAbsent(partId, key -> new ArrayList<>(EXPECTED_LOSSES)).add(loss);
+      suspectCount++;
+    }
+    return isNew;
+  }
+
+  /** Clears a part and returns whether it was suspect. */
+  boolean clear(String partId) {
+    List<PartLoss> cleared = lossesByPart.remove(partId);
+    if (cleared == null) {
+      return false;
+    }
+    cleared.forEach(loss -> loss.suspectPartIds().remove(partId));
+    suspectCount -= cleared.size();
+    return true;
+  }
+
+  /** Removes a loss. */
+  void remove(PartLoss loss) {
+    for (String partId : loss.suspectPartIds()) {
+      List<PartLoss> others = lossesByPart.get(partId);
+      others.remove(loss);
+      if (others.isEmpty()) {
+        lossesByPart.remove(partId);
+      }
+    }
+    suspectCount -= loss.suspectPartIds().size();
+  }
+
+  /** Returns the losses for which a part is suspect, in the order in which they became known. */
+  List<PartLoss> lossesOf(String partId) {
+    return lossesByPart.getOrDefault(partId, List.of());
+  }
+
+  /** Returns the number of losses for which a part is suspect. */
+  int lossCount(String partId) {
+    return lossesOf(partId).size();
+  }
+
+  /** Returns the number of suspect parts, summed over the losses. */
+  int suspectCount() {
+    return suspectCount;
+  }
+}
