Search the text after a status line in a body only while it grows

A body may hold a status line, after which the text is searched for the id of a call.

Cause: the search ran for every further part of the body, also once the 4 KB were complete that a head may have, so that each chunk of four bytes had 4 KB searched again.

Change: EmbeddedHead says whether its text has grown, and only then is it searched. A pattern matcher is made only for text that has the beginning of a status line.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/EmbeddedHead.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/EmbeddedHead.java
@@ -24,19 +24,32 @@
 
   private boolean isFound;
 
-  void add(ByteBuf part) {
-    if (isFound) {
-      int length = Math.min(MAX_HEAD_CHARS - text.length(), part.readableBytes());
-      text += part.toString(part.readerIndex(), length, StandardCharsets.ISO_8859_1);
-    } else {
+  /**
+   * Adds the next part of the body.
+   *
+   * @return whether a status line has been found and the text from there on has grown
+   */
+  boolean add(ByteBuf part) {
+    if (!isFound) {
       search(text + part.toString(StandardCharsets.ISO_8859_1));
+      return isFound;
     }
+    int length = Math.min(MAX_HEAD_CHARS - text.length(), part.readableBytes());
+    if (length == 0) {
+      return false;
+    }
+    text += part.toString(part.readerIndex(), length, StandardCharsets.ISO_8859_1);
+    return true;
   }
 
   private void search(String all) {
     int start = all.indexOf(START);
+    if (start < 0) {
+      text = all.substring(Math.max(0, all.length() - OVERLAP));
+      return;
+    }
     Matcher statusLine = STATUS_LINE.matcher(all);
-    isFound = start >= 0 && statusLine.find(start);
+    isFound = statusLine.find(start);
     if (isFound) {
       int from = statusLine.start();
       text = all.substring(from, Math.min(all.length(), from + MAX_HEAD_CHARS));
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnection.java
@@ -197,7 +197,7 @@
       return;
     }
     boolean isLast = content instanceof LastHttpContent;
-    embeddedHead.add(content.content());
+    boolean hasHeadGrown = embeddedHead.add(content.content());
     if (isResponseSkipped) {
       onSkippedContent(isLast);
       return;
@@ -205,7 +205,7 @@
     if (!hasHead) {
       return;
     }
-    if (embeddedHead.isFound() && format.namesCall(embeddedHead.text())) {
+    if (hasHeadGrown && format.namesCall(embeddedHead.text())) {
       fail(SendFailure.malformed("the body holds the head of another answer"));
       return;
     }
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/TestCallFormat.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/TestCallFormat.java
@@ -20,6 +20,13 @@
   static final String CALL_ID = "Call-Id";
   static final String SEAL = "Seal";
 
+  private int searchedHeads;
+
+  /** Returns how often a text has been searched for the id of a call. */
+  int searchedHeads() {
+    return searchedHeads;
+  }
+
   @Override
   public ResponseHead readResponseHead(HttpResponse response) {
     HttpHeaders headers = response.headers();
@@ -42,6 +49,7 @@
 
   @Override
   public boolean namesCall(String headText) {
+    searchedHeads++;
     return headText.contains("\r\n" + CALL_ID + ":");
   }
 
