Hold the parts of a call's prompt as one text

Cause: the ids of the shared parts were a list of texts until the call ends, some 50 bytes for a part of four bytes on the wire, while the room for heads counts three for a byte. Bodies and heads stay within their rooms; the lists were in none.

Change: PartIds holds the ids as one text, shorter than the header that the room counts, and makes an id when it is iterated over. The watch of a call in progress holds the same object.

--- a/core/src/main/java/org/galenapost/core/quarantine/PromptPartQuarantine.java
+++ b/core/src/main/java/org/galenapost/core/quarantine/PromptPartQuarantine.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.galenapost.core.peer.PeerBus;
+import org.galenapost.core.prompt.PartIds;
 import org.galenapost.core.time.MonotonicClock;
 import org.galenapost.core.time.RandomSource;
 import org.galenapost.core.time.Scheduler;
@@ -45,10 +46,10 @@
 
   /** A request in progress; compared by identity, since requests may share all their parts. */
   private static final class Watch {
-    private final List<String> partIds;
+    private final PartIds partIds;
     private final Consumer<Refusal> onRefused;
 
-    Watch(List<String> partIds, Consumer<Refusal> onRefused) {
+    Watch(PartIds partIds, Consumer<Refusal> onRefused) {
       this.partIds = partIds;
       this.onRefused = onRefused;
     }
@@ -168,7 +169,7 @@
     if (partIds.isEmpty()) {
       return () -> {};
     }
-    Watch watch = new Watch(List.copyOf(partIds), onRefused);
+    Watch watch = new Watch(PartIds.copyOf(partIds), onRefused);
     watches.add(watch);
     return () -> watches.remove(watch);
   }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/PlacementRoutes.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/PlacementRoutes.java
@@ -16,6 +16,7 @@
 import org.galenapost.core.dispatch.PlacementCandidate;
 import org.galenapost.core.dispatch.PlacementExplainer;
 import org.galenapost.core.dispatch.ServerConstraint;
+import org.galenapost.core.prompt.PartIds;
 import org.galenapost.core.prompt.PromptPart;
 import org.galenapost.core.route.TargetService;
 import org.galenapost.daemon.gateway.call.CallHead;
@@ -100,7 +101,7 @@
             OptionalLong.empty(),
             Optional.empty(),
             demand(request),
-            List.of());
+            PartIds.none());
     return validator
         .validateHead(head)
         .fold(OperatorResponse::refused, call -> OperatorResponse.ok(document(call)));
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/call/CallHead.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/call/CallHead.java
@@ -2,11 +2,11 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.galenapost.core.dispatch.CallDemand;
+import org.galenapost.core.prompt.PartIds;
 
 /**
  * The head of a caller's request.
@@ -36,9 +36,9 @@
     OptionalLong resumeAfter,
     Optional<String> resumedStreamId,
     CallDemand demand,
-    List<String> sharedPartIds) {
+    PartIds sharedPartIds) {
 
-  /** Checks that every part is present, and copies the ids. */
+  /** Checks that every part is present. */
   public CallHead {
     Objects.requireNonNull(id, "id");
     Objects.requireNonNull(method, "method");
@@ -50,7 +50,7 @@
     Objects.requireNonNull(resumeAfter, "resumeAfter");
     Objects.requireNonNull(resumedStreamId, "resumedStreamId");
     Objects.requireNonNull(demand, "demand");
-    sharedPartIds = List.copyOf(sharedPartIds);
+    Objects.requireNonNull(sharedPartIds, "sharedPartIds");
   }
 
   /** Returns the path without the query. */
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/PromptPartCheck.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/PromptPartCheck.java
@@ -1,8 +1,8 @@
 package org.galenapost.daemon.gateway.run;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.galenapost.core.prompt.PartIds;
 import org.galenapost.core.quarantine.PromptPartQuarantine;
 import org.galenapost.core.verdict.Refusal;
 
@@ -10,7 +10,7 @@
 final class PromptPartCheck {
 
   private final PromptPartQuarantine quarantine;
-  private final List<String> partIds;
+  private final PartIds partIds;
   private final Consumer<Refusal> onRefused;
   private Runnable watch = () -> {};
   private boolean isAnswered;
@@ -22,8 +22,7 @@
    * @param partIds the parts of the call's prompt that other calls may share
    * @param onRefused receives the refusal of a call in progress
    */
-  PromptPartCheck(
-      PromptPartQuarantine quarantine, List<String> partIds, Consumer<Refusal> onRefused) {
+  PromptPartCheck(PromptPartQuarantine quarantine, PartIds partIds, Consumer<Refusal> onRefused) {
     this.quarantine = quarantine;
     this.partIds = partIds;
     this.onRefused = onRefused;
@@ -59,7 +58,7 @@
   /** Records the loss of a server that had sent so many events of its answer. */
   void onServerLost(String serverId, long eventCount) {
     boolean isPastBeginning = eventCount >= PromptPartQuarantine.PROOF_EVENTS;
-    quarantine.onServerLost(serverId, isPastBeginning ? List.of() : partIds);
+    quarantine.onServerLost(serverId, isPastBeginning ? PartIds.none() : partIds);
   }
 
   /** Ends the watch. */
