Shrink read buffers that are held for a few undecoded bytes

While 1,000 uploads pause after one digit of the size of a chunk, no ordinary caller of their gateway gets an answer.

Cause: a decoder holds the buffer of a read, up to 64 KiB of direct memory, while bytes in it are not decoded. 750 of them fill the 48 MB of the deployment, and then each read of each connection collects garbage and sleeps in Bits.reserveMemory. The budgets counted the one byte.

Change: after each read the codec for callers, and the one for servers, which had the same fault, shrinks a buffer that takes over twice the memory of the bytes left in it. By then the parts that were decoded are released, and a buffer of which a part is in use stays as it is.

--- a/daemon/src/main/java/org/galenapost/daemon/http/StrictServerCodec.java
+++ b/daemon/src/main/java/org/galenapost/daemon/http/StrictServerCodec.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Queue;
 import org.galenapost.daemon.net.HeadAccount;
+import org.galenapost.daemon.net.ReadBuffers;
 
 /**
  * Decodes requests and encodes responses like {@code HttpServerCodec}, but rejects a request with
@@ -60,6 +61,15 @@
       heads.setUndecodedBytes(buffer.readableBytes());
     }
 
+    /** Only now are the parts of the buffer that were decoded no longer in use. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+      super.channelReadComplete(context);
+      if (!context.isRemoved()) {
+        ReadBuffers.shrink(internalBuffer());
+      }
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
       throw new IllegalArgumentException(
--- a/daemon/src/main/java/org/galenapost/daemon/net/StrictClientCodec.java
+++ b/daemon/src/main/java/org/galenapost/daemon/net/StrictClientCodec.java
@@ -102,6 +102,15 @@
       }
     }
 
+    /** Only now are the parts of the buffer that were decoded no longer in use. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+      super.channelReadComplete(context);
+      if (!context.isRemoved()) {
+        ReadBuffers.shrink(internalBuffer());
+      }
+    }
+
     private void onDecoded(Object message) {
       if (message instanceof HttpResponse response) {
         isInformational = isInformational(response);
