--- a/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayUncountedMemoryTest.java
+++ b/scenarios/src/test/java/org/galenapost/scenarios/soak/GatewayUncountedMemoryTest.java
@@ -5,6 +5,9 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Collections;
+import java.util.Map;
+import org.galenapost.scenarios.process.ManagedProcess;
 import org.galenapost.standins.gateway.StoreContentWriter;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -22,6 +25,9 @@
   private static final int CALLS = 200;
   private static final int PROMPT_PARTS = 3_700;
   private static final String LONG_BODY = "p".repeat(100_000);
+  private static final int LARGE_ENTRIES = 6;
+  private static final int LISTED_HOSTS = 250_000;
+  private static final Duration READING_TIME = Duration.ofSeconds(5);
 
   @TempDir private Path folder;
   private FloodedGateway gateway;
@@ -58,4 +64,17 @@
 
     gateway.assertSurvival();
   }
+
+  /** Guards against a process that ends because it reads whole entries of another writer. */
+  @Test
+  void survivesLargeEntriesOfAnotherWriter() throws IOException {
+    gateway.fleet().store().setPageSize(1);
+    Map<String, Object> entry = Map.of("hosts", Collections.nCopies(LISTED_HOSTS, Map.of()));
+    for (int number = 0; number < LARGE_ENTRIES; number++) {
+      gateway.fleet().store().write("servers", "inventory-" + number, entry);
+    }
+    ManagedProcess.pause(READING_TIME);
+
+    gateway.assertSurvival();
+  }
 }
