--- a/core/src/main/java/org/galenapost/core/platform/PlatformError.java
+++ b/core/src/main/java/org/galenapost/core/platform/PlatformError.java
@@ -36,6 +36,13 @@
    */
   record AnswerLost(String detail) implements PlatformError {}
 
+  /**
+   * The answer to a read is larger than the caller has memory for.
+   *
+   * @param detail a description of the failure
+   */
+  record TooLarge(String detail) implements PlatformError {}
+
   /**
    * The platform rejected the call as invalid.
    *
--- a/daemon/src/main/java/org/galenapost/daemon/platform/PlatformCall.java
+++ b/daemon/src/main/java/org/galenapost/daemon/platform/PlatformCall.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
 import org.asynchttpclient.AsyncCompletionHandler;
+import org.asynchttpclient.HttpResponseBodyPart;
 import org.asynchttpclient.Response;
 import org.asynchttpclient.netty.request.NettyRequest;
 import org.galenapost.core.platform.PlatformError;
@@ -18,15 +19,19 @@
   private final CompletableFuture<Either<PlatformError, Response>> result =
       new CompletableFuture<>();
   private final Runnable onTimeout;
+  private final long maxBodyBytes;
+  private long bodyBytes;
   private volatile boolean wasSent;
 
   /**
    * Creates a handler.
    *
    * @param onTimeout run before the result if the connection gave no answer in time
+   * @param maxBodyBytes the largest body of a response; a larger one is not read to its end
    */
-  PlatformCall(Runnable onTimeout) {
+  PlatformCall(Runnable onTimeout, long maxBodyBytes) {
     this.onTimeout = onTimeout;
+    this.maxBodyBytes = maxBodyBytes;
   }
 
   CompletableFuture<Either<PlatformError, Response>> result() {
@@ -38,6 +43,17 @@
     wasSent = true;
   }
 
+  @Override
+  public State onBodyPartReceived(HttpResponseBodyPart part) throws Exception {
+    bodyBytes += part.length();
+    if (bodyBytes > maxBodyBytes) {
+      String detail = "the response has more than " + maxBodyBytes + " bytes";
+      result.complete(Either.left(new PlatformError.TooLarge(detail)));
+      return State.ABORT;
+    }
+    return super.onBodyPartReceived(part);
+  }
+
   @Override
   public Void onCompleted(Response response) {
     result.complete(Either.right(response));
--- a/daemon/src/main/java/org/galenapost/daemon/platform/PlatformHttpClient.java
+++ b/daemon/src/main/java/org/galenapost/daemon/platform/PlatformHttpClient.java
@@ -33,6 +33,16 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
   private static final Duration IDLE_CONNECTION_TIMEOUT = Duration.ofSeconds(30);
   private static final int MAX_CONNECTIONS = 256;
+
+  /**
+   * The response to a long poll may take this share of the heap. It holds all changes at once,
+   * while a listing comes in pages that the platform bounds.
+   */
+  private static final double LONG_POLL_HEAP_SHARE = 0.0625;
+
+  /** Leaves room for the change of one object of the largest size on any heap. */
+  private static final long MIN_LONG_POLL_BYTES = 4 * 1024 * 1024;
+
   private static final int STATUS_TOO_MANY_REQUESTS = 429;
   private static final int STATUS_SERVICE_UNAVAILABLE = 503;
   private static final int FIRST_SERVER_ERROR = 500;
@@ -41,10 +51,28 @@
   private final PlatformCircuitBreaker circuitBreaker;
   private final AsyncHttpClientConfig config;
   private final AsyncHttpClient client;
+  private final long maxLongPollBytes;
 
   /** Creates a client that runs on the daemon's event loops. */
   public PlatformHttpClient(
       PlatformSettings settings, PlatformCircuitBreaker circuitBreaker, EventLoopGroup eventLoops) {
+    this(settings, circuitBreaker, eventLoops, defaultMaxLongPollBytes());
+  }
+
+  /**
+   * Creates a client that reads responses to long polls up to a given size.
+   *
+   * @param settings the settings
+   * @param circuitBreaker refuses short calls while the platform is down
+   * @param eventLoops the event loops that serve the connections
+   * @param maxLongPollBytes the largest body of the response to a long poll
+   */
+  public PlatformHttpClient(
+      PlatformSettings settings,
+      PlatformCircuitBreaker circuitBreaker,
+      EventLoopGroup eventLoops,
+      long maxLongPollBytes) {
+    this.maxLongPollBytes = maxLongPollBytes;
     this.settings = settings;
     this.circuitBreaker = circuitBreaker;
     DefaultAsyncHttpClientConfig.Builder builder = Dsl.config();
@@ -66,6 +94,11 @@
     this.client = Dsl.asyncHttpClient(config);
   }
 
+  private static long defaultMaxLongPollBytes() {
+    long heapShareBytes = (long) (Runtime.getRuntime().maxMemory() * LONG_POLL_HEAP_SHARE);
+    return Math.max(MIN_LONG_POLL_BYTES, heapShareBytes);
+  }
+
   /** Replaces the default factory, which loads all trusted certificates when the client starts. */
   private static SSLEngine rejectTls(AsyncHttpClientConfig config, String host, int port) {
     throw new IllegalStateException(
@@ -115,7 +148,7 @@
       return CompletableFuture.completedFuture(
           Either.left(new PlatformError.Unavailable("the platform is held to be down")));
     }
-    return send(request, settings.requestTimeout()).thenApply(this::recordResult);
+    return send(request, settings.requestTimeout(), Long.MAX_VALUE).thenApply(this::recordResult);
   }
 
   /**
@@ -125,19 +158,20 @@
    *
    * @param request the request
    * @param maxWait how long the platform may hold the request
-   * @return the response, or the error of the call
+   * @return the response, or the error of the call, which is {@link PlatformError.TooLarge} if the
+   *     response would take too much of the memory
    */
   public CompletionStage<Either<PlatformError, Response>> longPollCall(
       RequestBuilder request, Duration maxWait) {
     Duration margin = settings.requestTimeout();
     margin = margin.compareTo(MAX_LONG_POLL_MARGIN) < 0 ? margin : MAX_LONG_POLL_MARGIN;
-    return send(request, maxWait.plus(margin))
+    return send(request, maxWait.plus(margin), maxLongPollBytes)
         .thenApply(result -> result.flatMap(PlatformHttpClient::checkStatus));
   }
 
   private CompletableFuture<Either<PlatformError, Response>> send(
-      RequestBuilder request, Duration timeout) {
-    PlatformCall call = new PlatformCall(this::closeIdleConnections);
+      RequestBuilder request, Duration timeout, long maxBodyBytes) {
+    PlatformCall call = new PlatformCall(this::closeIdleConnections, maxBodyBytes);
     request.setRequestTimeout(timeout).setReadTimeout(timeout);
     try {
       client.executeRequest(request.build(), call);
