Read little of one server's connection in each pass of the event loop

Cause: a pass of the event loop took up to 16 reads of 64 KiB from each connection, a million bytes that may hold 100,000 chunks or events, before the others had their turn.

Change: connections to servers are read once in a pass, 16 KiB at most.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPool.java
@@ -1,11 +1,13 @@
 package org.galenapost.daemon.gateway.upstream;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -48,6 +50,9 @@
   private static final Duration MAX_IDLE_WITHOUT_RETRY = Duration.ofMillis(500);
 
   private static final int MAX_HEADER_BYTES = 64 * 1024;
+  private static final int MIN_READ_BYTES = 64;
+  private static final int FIRST_READ_BYTES = 2 * 1024;
+  private static final int MAX_READ_BYTES = 16 * 1024;
   private final EventLoop loop;
   private final CallFormat format;
   private final MonotonicClock clock;
@@ -87,10 +92,20 @@
             .channel(NioSocketChannel.class)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
             .option(ChannelOption.SO_SNDBUF, ClientSockets.SEND_BUFFER_BYTES)
-            .option(ChannelOption.TCP_NODELAY, true);
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, shortReads());
     KeepAliveProbes.set(bootstrap::option);
   }
 
+  /**
+   * Returns an allocator that reads little of one connection in each pass of the event loop, since
+   * 16 KiB may hold thousands of events or chunks, and other connections wait for their turn.
+   */
+  private static RecvByteBufAllocator shortReads() {
+    return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+        .maxMessagesPerRead(1);
+  }
+
   @Override
   public String name() {
     return "server-pool";
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPoolTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/upstream/ServerConnectionPoolTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -155,6 +156,42 @@
     }
   }
 
+  /** Guards against callers that wait while a server sends thousands of small chunks. */
+  @Test
+  void readsLittleOfOneConnectionInEachPass() throws IOException {
+    server.close();
+    server =
+        StutteringServer.fromFirstAnswerOn(
+            "HTTP/1.1 200 OK\r\nCall-Id: call-1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + "4\r\ntok \r\n".repeat(100_000)
+                + "0\r\n\r\n");
+    PassRecorder listener = new PassRecorder();
+
+    loop.execute(() -> send("call-1", listener));
+
+    await().until(() -> listener.body().length() == 400_000);
+    assertThat(listener.maxBytesOfPass).isLessThan(16 * 1024);
+  }
+
+  /** Keeps how many bytes came in one pass of the event loop. */
+  private static final class PassRecorder extends RecordingResponseListener {
+
+    private int bytesOfPass;
+    private volatile int maxBytesOfPass;
+
+    @Override
+    public void onBody(ByteBuf part) {
+      super.onBody(part);
+      bytesOfPass += part.readableBytes();
+    }
+
+    @Override
+    public void onReadComplete() {
+      maxBytesOfPass = Math.max(maxBytesOfPass, bytesOfPass);
+      bytesOfPass = 0;
+    }
+  }
+
   private void answerTo(String callId) {
     answerTo(HttpMethod.GET, callId);
   }
