Check requests in progress once for losses reported together

Each daemon with a call at a lost server reports the loss, and each report with a new part had all requests in progress checked 250 ms later: 500 daemons cause 500 checks of each request.

Change: one check serves all reports of the 25 ms before it, and no report waits more than 25 ms longer.

Evidence: the new test has 500 reports of one loss, 0.1 ms apart.

--- a/core/src/main/java/org/galenapost/core/quarantine/LossAttribution.java
+++ b/core/src/main/java/org/galenapost/core/quarantine/LossAttribution.java
@@ -21,7 +21,7 @@
 final class LossAttribution {
 
   /** One loss may be chance, and two may be another fault of the same servers. */
-  private static final int MIN_LOSSES = 3;
+  static final int MIN_LOSSES = 3;
 
   private static final int MIN_UNEXPLAINED_SERVERS = 2;
 
--- a/core/src/main/java/org/galenapost/core/quarantine/PartLosses.java
+++ b/core/src/main/java/org/galenapost/core/quarantine/PartLosses.java
@@ -39,7 +39,7 @@
 
   private final MonotonicClock clock;
   private final Map<String, PartLoss> losses = new LinkedHashMap<>();
-  private final SuspectIndex suspects = new SuspectIndex();
+  private final SuspectIndex suspects = new SuspectIndex(LossAttribution.MIN_LOSSES);
   private final Map<String, Long> clearedAtNanos = new LinkedHashMap<>();
 
   /** Empty after a change of the losses, until it is needed. */
@@ -138,7 +138,7 @@
    * not tell parts of the request apart, the last one is returned, which the fewest requests share.
    */
   Optional<String> causeAmong(Collection<String> partIds) {
-    return losses.isEmpty() ? Optional.empty() : attribution().causeAmong(partIds);
+    return suspects.hasRepeatedSuspect() ? attribution().causeAmong(partIds) : Optional.empty();
   }
 
   private LossAttribution attribution() {
--- a/core/src/main/java/org/galenapost/core/quarantine/PromptPartQuarantine.java
+++ b/core/src/main/java/org/galenapost/core/quarantine/PromptPartQuarantine.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.galenapost.core.peer.PeerBus;
@@ -35,13 +36,18 @@
   /** Well below the time within which a daemon that starts or was cut off must know the parts. */
   private static final Duration EXCHANGE_PERIOD = Duration.ofSeconds(1);
 
+  /** Each daemon with a request at a lost server reports the loss, most of them at once. */
+  private static final Duration MIN_CHECK_INTERVAL = Duration.ofMillis(25);
+
   private final PeerBus peers;
+  private final MonotonicClock clock;
   private final Scheduler scheduler;
   private final RandomSource random;
   private final Listener listener;
   private final PartLosses losses;
   private final Set<String> refusedPartIds = new HashSet<>();
   private final Set<Watch> watches = new LinkedHashSet<>();
+  private OptionalLong lastCheckNanos = OptionalLong.empty();
   private boolean isRunning;
 
   /** A request in progress; compared by identity, since requests may share all their parts. */
@@ -90,6 +96,7 @@
       RandomSource random,
       Listener listener) {
     this.peers = Objects.requireNonNull(peers, "peers");
+    this.clock = Objects.requireNonNull(clock, "clock");
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.random = Objects.requireNonNull(random, "random");
     this.listener = Objects.requireNonNull(listener, "listener");
@@ -128,7 +135,7 @@
   private void merge(String sender, PartLossReport report) {
     Duration age = Duration.ofMillis(report.ageMs());
     if (losses.add(report.serverId(), report.partIds(), age)) {
-      scheduler.schedule(PartLosses.SETTLING_TIME, this::notifyWatches);
+      scheduleCheckOfWatches();
     }
     Set<String> cleared = losses.clearedSince(age, report.partIds());
     if (!cleared.isEmpty()) {
@@ -174,6 +181,23 @@
     return () -> watches.remove(watch);
   }
 
+  /**
+   * Schedules a check of the requests in progress when the latest loss counts. One check serves all
+   * losses and parts that become known within the interval before it.
+   */
+  private void scheduleCheckOfWatches() {
+    long dueNanos = clock.nanos() + PartLosses.SETTLING_TIME.toNanos();
+    if (lastCheckNanos.isPresent()) {
+      long sinceLastNanos = dueNanos - lastCheckNanos.getAsLong();
+      if (sinceLastNanos <= 0) {
+        return;
+      }
+      dueNanos += sinceLastNanos < MIN_CHECK_INTERVAL.toNanos() ? MIN_CHECK_INTERVAL.toNanos() : 0;
+    }
+    lastCheckNanos = OptionalLong.of(dueNanos);
+    scheduler.schedule(Duration.ofNanos(dueNanos - clock.nanos()), this::notifyWatches);
+  }
+
   private void notifyWatches() {
     for (Watch watch : List.copyOf(watches)) {
       check(watch.partIds)
@@ -196,7 +220,7 @@
   public void onServerLost(String serverId, Collection<String> unansweredPartIds) {
     if (losses.add(serverId, unansweredPartIds, Duration.ZERO)) {
       peers.broadcast(new PartLossReport(serverId, Set.copyOf(unansweredPartIds), 0));
-      scheduler.schedule(PartLosses.SETTLING_TIME, this::notifyWatches);
+      scheduleCheckOfWatches();
     }
   }
 
--- a/core/src/main/java/org/galenapost/core/quarantine/SuspectIndex.java
+++ b/core/src/main/java/org/galenapost/core/quarantine/SuspectIndex.java
@@ -13,14 +13,28 @@
   private static final int EXPECTED_LOSSES = 1;
 
   private final Map<String, List<PartLoss>> lossesByPart = new HashMap<>();
+  private final int minLosses;
   private int suspectCount;
+  private int repeatedSuspectCount;
+
+  /**
+   * Creates an index without losses.
+   *
+   * @param minLosses the losses from which on a part is a repeated suspect
+   */
+  SuspectIndex(int minLosses) {
+    this.minLosses = minLosses;
+  }
 
   /** Makes a part suspect of a loss and returns whether it was not. */
   boolean add(String partId, PartLoss loss) {
     boolean isNew = loss.suspectPartIds().add(partId);
     if (isNew) {
-      lossesByPart.computeIfAbsent(partId, key -> new ArrayList<>(EXPECTED_LOSSES)).add(loss);
+      List<PartLoss> losses =
+          lossesByPart.computeIfAbsent(partId, key -> new ArrayList<>(EXPECTED_LOSSES));
+      losses.add(loss);
       suspectCount++;
+      repeatedSuspectCount += losses.size() == minLosses ? 1 : 0;
     }
     return isNew;
   }
@@ -33,6 +47,7 @@
     }
     cleared.forEach(loss -> loss.suspectPartIds().remove(partId));
     suspectCount -= cleared.size();
+    repeatedSuspectCount -= cleared.size() >= minLosses ? 1 : 0;
     return true;
   }
 
@@ -40,6 +55,7 @@
   void remove(PartLoss loss) {
     for (String partId : loss.suspectPartIds()) {
       List<PartLoss> others = lossesByPart.get(partId);
+      repeatedSuspectCount -= others.size() == minLosses ? 1 : 0;
       others.remove(loss);
       if (others.isEmpty()) {
         lossesByPart.remove(partId);
@@ -58,6 +74,11 @@
     return lossesOf(partId).size();
   }
 
+  /** Returns whether a part is suspect of at least the given number of losses. */
+  boolean hasRepeatedSuspect() {
+    return repeatedSuspectCount > 0;
+  }
+
   /** Returns the number of suspect parts, summed over the losses. */
   int suspectCount() {
     return suspectCount;
--- a/core/src/test/java/org/galenapost/core/quarantine/PromptPartQuarantineTest.java
+++ b/core/src/test/java/org/galenapost/core/quarantine/PromptPartQuarantineTest.java
@@ -211,6 +211,32 @@
     assertThat(stopped).containsExactly("crashing");
   }
 
+  /**
+   * Guards against a daemon that hangs when each of hundreds of daemons reports the loss of the
+   * same server, as each report had all requests in progress checked.
+   */
+  @Test
+  void checksRequestsInProgressOnceForReportsThatComeTogether() {
+    // GIVEN requests in progress and two losses
+    for (String serverId : List.of("s1", "s2")) {
+      lose(first, serverId, List.of("11aa", DEADLY));
+    }
+    List<String> stopped = new ArrayList<>();
+    second.watch(DEADLY_REQUEST, refusal -> stopped.add("crashing"));
+    int tasksBefore = time.pendingTasks();
+
+    // WHEN many daemons report the next loss, each with other parts
+    for (int daemon = 0; daemon < 500; daemon++) {
+      first.onServerLost("s3", List.of("part" + daemon, DEADLY));
+      time.advance(Duration.ofNanos(100_000));
+    }
+
+    // THEN few checks are due, and they stop the request as soon as the loss counts
+    assertThat(time.pendingTasks() - tasksBefore).isLessThan(20);
+    time.advance(PartLosses.SETTLING_TIME.minusMillis(49));
+    assertThat(stopped).containsExactly("crashing");
+  }
+
   private void lose(PromptPartQuarantine daemon, String serverId, List<String> partIds) {
     daemon.onServerLost(serverId, partIds);
     time.advance(Duration.ofSeconds(1));
--- a/core/src/test/java/org/galenapost/core/testing/VirtualTime.java
+++ b/core/src/test/java/org/galenapost/core/testing/VirtualTime.java
@@ -46,6 +46,11 @@
     nowNanos = endNanos;
   }
 
+  /** Returns the number of tasks that are not due yet. */
+  public int pendingTasks() {
+    return tasks.size();
+  }
+
   /** Advances time without running tasks, as when the process is frozen. */
   public void freeze(Duration duration) {
     nowNanos += duration.toNanos();
