Give back the memory of long events that were relayed

A stream may last for minutes, and a host relays hundreds.

Change: the buffer is replaced by one of the size of the incomplete event once it takes over four times its memory.

Evidence: the new test could not be run before, as it reads the size of the buffer; after an event of 500,000 bytes it takes under 1,000.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/EventSplitter.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/EventSplitter.java
@@ -20,7 +20,15 @@
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
   private static final int MAX_ID_DIGITS = 18;
 
-  private final ByteBuf pending = Unpooled.buffer();
+  /** A smaller buffer is kept after its events. */
+  private static final int MAX_IDLE_BYTES = 4 * 1024;
+
+  /** The buffer may take this many times the memory of the incomplete event. */
+  private static final int MAX_CAPACITY_FACTOR = 4;
+
+  private static final int MIN_BYTES = 256;
+
+  private ByteBuf pending = Unpooled.buffer(MIN_BYTES);
 
   /** The bytes of the incomplete event that have been searched for the end of a line. */
   private int searchedBytes;
@@ -40,11 +48,23 @@
     if (pending.readableBytes() + bytes.readableBytes() > MAX_EVENT_BYTES) {
       return false;
     }
-    pending.discardSomeReadBytes();
+    shrink();
     pending.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
     return true;
   }
 
+  /** Gives back the memory of events that were taken; a stream may go on for long after them. */
+  private void shrink() {
+    int heldBytes = pending.readableBytes();
+    if (pending.capacity() > Math.max(MAX_IDLE_BYTES, MAX_CAPACITY_FACTOR * heldBytes)) {
+      ByteBuf smaller = Unpooled.buffer(Math.max(MIN_BYTES, heldBytes)).writeBytes(pending);
+      pending.release();
+      pending = smaller;
+    } else {
+      pending.discardSomeReadBytes();
+    }
+  }
+
   /** Returns the next complete event with its closing blank line, or null if there is none. */
   ByteBuf next() {
     int eventStart = pending.readerIndex();
@@ -113,6 +133,11 @@
     return true;
   }
 
+  /** Returns the memory of the buffer in bytes. */
+  int capacityBytes() {
+    return pending.capacity();
+  }
+
   /** Returns the number of buffered bytes. */
   int pendingBytes() {
     return pending.readableBytes();
--- a/daemon/src/test/java/org/galenapost/daemon/gateway/run/EventSplitterTest.java
+++ b/daemon/src/test/java/org/galenapost/daemon/gateway/run/EventSplitterTest.java
@@ -93,6 +93,19 @@
     assertThat(splitter.add(part)).as("room for more").isFalse();
   }
 
+  /** Guards against streams that hold the memory of a long event until they end. */
+  @Test
+  void givesBackTheMemoryOfLongEvents() {
+    splitter.add(bytes("data: " + "a".repeat(500_000) + "\n\ndata: b"));
+    assertThat(events()).hasSize(1);
+
+    splitter.add(bytes("\n"));
+
+    assertThat(splitter.capacityBytes()).isLessThan(1_000);
+    splitter.add(bytes("\ndata: c\n\n"));
+    assertThat(events()).containsExactly("data: b\n\n", "data: c\n\n");
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"\r\n1c\r\nid: 2\n\n", "id: 2\ndata: a\r\n1c\r\nb\n\n", "1\n\n"})
   void findsLinesWithoutField(String event) {
