Forget old losses of parts in one place

The removal had a method that always returned true. Old losses and those beyond the bounds are removed by one loop in the order in which they became known, as before. Comments on parts of bodies and suspects say what holds.

--- a/core/src/main/java/org/galenapost/core/quarantine/PartLosses.java
+++ b/core/src/main/java/org/galenapost/core/quarantine/PartLosses.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.galenapost.core.time.MonotonicClock;
 
@@ -93,22 +94,25 @@
 
   private void removeOld() {
     clearedAtNanos.values().removeIf(nanos -> clock.since(nanos).compareTo(MAX_AGE) > 0);
-    losses.values().removeIf(loss -> isTooOld(loss) && forget(loss));
-    Iterator<PartLoss> oldestFirst = losses.values().iterator();
-    while (losses.size() >= MAX_LOSSES || suspects.suspectCount() >= MAX_SUSPECT_PARTS) {
-      forget(oldestFirst.next());
-      oldestFirst.remove();
-    }
+    removeIf(loss -> clock.since(loss.atNanos()).compareTo(MAX_AGE) > 0);
+    removeIf(loss -> isFull());
   }
 
-  private boolean isTooOld(PartLoss loss) {
-    return clock.since(loss.atNanos()).compareTo(MAX_AGE) > 0;
+  /** Removes losses in the order in which they became known. */
+  private void removeIf(Predicate<PartLoss> condition) {
+    Iterator<PartLoss> remaining = losses.values().iterator();
+    while (remaining.hasNext()) {
+      PartLoss loss = remaining.next();
+      if (condition.test(loss)) {
+        remaining.remove();
+        suspects.remove(loss);
+        attribution = Optional.empty();
+      }
+    }
   }
 
-  private boolean forget(PartLoss loss) {
-    suspects.remove(loss);
-    attribution = Optional.empty();
-    return true;
+  private boolean isFull() {
+    return losses.size() >= MAX_LOSSES || suspects.suspectCount() >= MAX_SUSPECT_PARTS;
   }
 
   /**
--- a/core/src/main/java/org/galenapost/core/quarantine/SuspectIndex.java
+++ b/core/src/main/java/org/galenapost/core/quarantine/SuspectIndex.java
@@ -74,7 +74,7 @@
     return lossesOf(partId).size();
   }
 
-  /** Returns whether a part is suspect of at least the given number of losses. */
+  /** Returns whether any part is a repeated suspect. */
   boolean hasRepeatedSuspect() {
     return repeatedSuspectCount > 0;
   }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/BodyBudgetHandler.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/BodyBudgetHandler.java
@@ -34,10 +34,13 @@
   /** An ordinary body comes in fewer parts, whose objects need not be counted. */
   private static final int UNCOUNTED_PARTS = 16;
 
-  /** Parts that are kept as they are beyond this number are long, and their objects need little. */
+  /** Further parts are not counted: only long ones are passed on by themselves. */
   private static final int MAX_PARTS = 1_024;
 
-  /** Shorter parts are copied together, since the next handler copies all after each 1,024. */
+  /**
+   * Shorter parts are copied together, since the next handler copies the whole body after each
+   * 1,024 parts.
+   */
   private static final int MAX_JOINED_PART_BYTES = 1_024;
 
   private static final int MAX_JOINED_BYTES = 16 * 1_024;
