Log why a call is sent again and what is left of the budget

Repeats are counted by service and cause, refused ones by reason; the lines name the service, the cause and the number of live daemons.

--- a/core/src/main/java/org/galenapost/core/dispatch/SendBudget.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/SendBudget.java
@@ -50,6 +50,20 @@
     return true;
   }
 
+  /** Returns what was sent to a service in the window that ends now. */
+  public Usage usage(String service) {
+    Window window = window(service);
+    return new Usage(window.sum(window.firstSends), window.sum(window.retries));
+  }
+
+  /**
+   * The sends to one service in a window.
+   *
+   * @param firstSends the first sends of calls
+   * @param retries the retries, those that were lent to other daemons included
+   */
+  public record Usage(int firstSends, int retries) {}
+
   private Window window(String service) {
     long bucket = Math.floorDiv(clock.nanos(), bucketNanos);
     Window window = windows.computeIfAbsent(service, name -> new Window(bucket));
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallLog.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallLog.java
@@ -1,6 +1,8 @@
 package org.galenapost.daemon.gateway.run;
 
 import java.time.Duration;
+import java.util.Optional;
+import org.galenapost.core.dispatch.SendBudget;
 import org.galenapost.core.instance.ServerInstance;
 import org.galenapost.core.verdict.Refusal;
 import org.galenapost.daemon.gateway.call.HandoverTicket;
@@ -22,9 +24,12 @@
     this.call = call;
   }
 
-  void logSent(SendPlan plan, int sendNumber) {
+  void logSent(SendPlan plan, int sendNumber, Optional<RetryCause> cause) {
     event("call_sent")
+        .with("service", call.service().name())
         .with("send", sendNumber)
+        .with("repeat", cause.map(RetryCause::logName).orElse("no"))
+        .with("live_daemons", context.liveDaemonCount().getAsInt())
         .with("server", plan.instance().key().text())
         .with("server_version", plan.instance().softwareVersion())
         .with("resumes", call.head().resumedStreamId().orElse("-"))
@@ -86,11 +91,17 @@
 
   /** Logs the outcome of a retry beyond this daemon's own share of the budget. */
   void logRetryBorrowed(boolean isGranted) {
-    if (isGranted) {
-      event("repeat_borrowed").write();
-    } else {
-      event("repeat_refused").with("reason", "budget-spent").write();
-    }
+    LogEvent event =
+        isGranted
+            ? event("repeat_borrowed")
+            : event("repeat_refused").with("reason", "budget-spent");
+    SendBudget.Usage usage = context.budget().usage(call.service().name());
+    event
+        .with("service", call.service().name())
+        .with("first_sends", usage.firstSends())
+        .with("spent", usage.retries())
+        .with("live_daemons", context.liveDaemonCount().getAsInt())
+        .write();
   }
 
   void recordResumed(Attempt attempt, EventRelay relay) {
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallRetries.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallRetries.java
@@ -1,5 +1,6 @@
 package org.galenapost.daemon.gateway.run;
 
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.galenapost.daemon.gateway.call.HandoverTicket;
 
@@ -24,6 +25,7 @@
   private int refusedSends;
   private int failedConnects;
   private int failedConnectsSinceCheck;
+  private Optional<RetryCause> lastCause = Optional.empty();
 
   CallRetries(GatewayContext context, AcceptedCall call, CallLog log) {
     this.context = context;
@@ -51,18 +53,21 @@
   }
 
   /** Records that a server ran the call, or may have. */
-  void recordRun() {
+  void recordRun(RetryCause cause) {
     runCount++;
+    lastCause = Optional.of(cause);
   }
 
   /** Records that the server of a run ended or was cut off, which does not count as a server. */
   void recordCutOffRun() {
     cutOffRuns++;
+    lastCause = Optional.of(RetryCause.CUT_OFF);
   }
 
   /** Records that a server refused the call without running it. */
   void recordRefusal() {
     refusedSends++;
+    lastCause = Optional.of(RetryCause.REFUSED);
   }
 
   /**
@@ -87,9 +92,9 @@
     return runCount + cutOffRuns + refusedSends + failedConnects;
   }
 
-  /** Returns whether the next send is a retry, which uses the budget. */
-  boolean isNextSendRetry() {
-    return runCount + cutOffRuns + refusedSends > 0;
+  /** Returns why the next send is a retry, which uses the budget; empty if it is none. */
+  Optional<RetryCause> nextSendCause() {
+    return lastCause;
   }
 
   /** Acquires a retry of this daemon's own share, if the call may be sent again at all. */
@@ -105,6 +110,7 @@
    */
   void acquire(Consumer<Boolean> onResult) {
     if (!isWithinLimits()) {
+      context.meters().recordRefusedRetry("attempts");
       onResult.accept(false);
     } else if (tryAcquire()) {
       onResult.accept(true);
@@ -114,6 +120,9 @@
           .borrow(
               call.service().name(),
               isGranted -> {
+                if (!isGranted) {
+                  context.meters().recordRefusedRetry("budget");
+                }
                 log.logRetryBorrowed(isGranted);
                 onResult.accept(isGranted);
               });
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallRun.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallRun.java
@@ -177,9 +177,9 @@
 
   private void send(SendPlan plan) {
     roomWait.leave();
-    boolean isRetry = retries.isNextSendRetry();
-    context.meters().recordSend(isRetry);
-    log.logSent(plan, retries.sendCount() + 1);
+    Optional<RetryCause> cause = retries.nextSendCause();
+    context.meters().recordSend(call.service().name(), cause);
+    log.logSent(plan, retries.sendCount() + 1, cause);
     currentAttempt = Optional.empty();
     Attempt attempt = sender.send(plan, requestOf(plan));
     if (!isEnded && call.route().allowsRetry()) {
@@ -321,7 +321,7 @@
     if (failure.isServerCutOff()) {
       retries.recordCutOffRun();
     } else {
-      retries.recordRun();
+      retries.recordRun(RetryCause.LOST);
     }
     verdict.recordPossibleRun();
     isResuming = call.route().kind() == CallKind.STREAM;
@@ -368,7 +368,7 @@
       context.health().recordSuccess(attempt.instance().key());
     }
     timing.recordAnswer(attempt, head);
-    retries.recordRun();
+    retries.recordRun(RetryCause.FAILED);
     verdict.recordPossibleRun();
     boolean mayRetry =
         isServerFailure && call.route().allowsRetry() && !attempt.plan().isHandover();
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/GatewayMeters.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/GatewayMeters.java
@@ -5,6 +5,7 @@
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.Optional;
 import org.galenapost.core.route.CallKind;
 import org.galenapost.core.verdict.Refusal;
 import org.galenapost.daemon.gateway.upstream.SendFailure;
@@ -35,9 +36,20 @@
     this.registry = registry;
   }
 
-  /** Counts a send. */
-  void recordSend(boolean isRetry) {
-    registry.counter("galenapost.gateway.sends", "repeat", Boolean.toString(isRetry)).increment();
+  /** Counts a send; one with a cause is a retry. */
+  void recordSend(String service, Optional<RetryCause> cause) {
+    String isRetry = Boolean.toString(cause.isPresent());
+    registry.counter("galenapost.gateway.sends", "repeat", isRetry).increment();
+    cause.ifPresent(
+        retry ->
+            registry
+                .counter("galenapost.gateway.retries", "service", service, "cause", retry.logName())
+                .increment());
+  }
+
+  /** Counts a retry that was refused, by what did not allow it. */
+  void recordRefusedRetry(String reason) {
+    registry.counter("galenapost.gateway.retries.refused", "reason", reason).increment();
   }
 
   /** Counts a send that a server refused without running the call. */
