Keep restarted daemons from sending the fixed repeats again

Callers saw nothing of it; servers got more repeats than the fleet may send (BUDGET).

Cause: the window of repeats lives in one process. A daemon that starts again began with nothing spent and its whole part of the fixed repeats, while those of its earlier process still count.

Change: FleetShare is the part of the fixed repeats that a process may use. It is 0 for one window and the time in which others learn of a daemon, unless the fleet starts for the first time. The share of its own first sends (the ratio) is available at once, and so are loans of peers that run.

--- a/core/src/main/java/org/galenapost/core/dispatch/RetryLoans.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/RetryLoans.java
@@ -6,7 +6,6 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.function.Consumer;
-import java.util.function.IntSupplier;
 import org.galenapost.core.peer.PeerBus;
 import org.galenapost.core.peer.PeerCalls;
 import org.galenapost.core.time.RandomSource;
@@ -30,7 +29,6 @@
   private final SendBudget budget;
   private final PeerBus bus;
   private final PeerCalls<RetryLoanMessage.Reply> calls;
-  private final IntSupplier liveDaemonCount;
   private final RandomSource random;
 
   /**
@@ -39,25 +37,18 @@
    * @param budget this daemon's share
    * @param bus sends messages to the daemons that may lend
    * @param scheduler runs the timeouts
-   * @param liveDaemonCount returns the number of daemons that share the limit
    * @param random chooses the lenders
    */
-  public RetryLoans(
-      SendBudget budget,
-      PeerBus bus,
-      Scheduler scheduler,
-      IntSupplier liveDaemonCount,
-      RandomSource random) {
+  public RetryLoans(SendBudget budget, PeerBus bus, Scheduler scheduler, RandomSource random) {
     this.budget = budget;
     this.bus = bus;
     this.calls = new PeerCalls<>(bus, scheduler, RetryLoanMessage.Reply.class, REPLY_TIMEOUT);
-    this.liveDaemonCount = liveDaemonCount;
     this.random = random;
     bus.onMessage(RetryLoanMessage.Request.class, this::onRequest);
   }
 
   private void onRequest(String sender, RetryLoanMessage.Request request) {
-    boolean isGranted = budget.tryRetry(request.service(), liveDaemonCount.getAsInt());
+    boolean isGranted = budget.tryRetry(request.service());
     bus.send(sender, new RetryLoanMessage.Reply(request.requestId(), isGranted));
   }
 
--- a/core/src/main/java/org/galenapost/core/dispatch/SendBudget.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/SendBudget.java
@@ -3,25 +3,34 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.DoubleSupplier;
 import org.galenapost.core.time.MonotonicClock;
 
 /**
  * Limits the retries to each service. All daemons together may retry a share of the calls in a
  * sliding window, plus a fixed number of sends. Each daemon applies the share to its own calls and
- * uses an equal part of the fixed number. Not safe for use by several threads.
+ * uses its {@link FleetShare} of the fixed number. Not safe for use by several threads.
  */
 public final class SendBudget {
 
   private static final int BUCKETS = 20;
 
   private final SendBudgetSettings settings;
+  private final DoubleSupplier fleetShare;
   private final MonotonicClock clock;
   private final long bucketNanos;
   private final Map<String, Window> windows = new HashMap<>();
 
-  /** Creates a budget without recorded sends. */
-  public SendBudget(SendBudgetSettings settings, MonotonicClock clock) {
+  /**
+   * Creates a budget without recorded sends.
+   *
+   * @param settings the limits of all daemons
+   * @param fleetShare returns the part of the fixed number that this daemon may use, from 0 to 1
+   * @param clock measures the window
+   */
+  public SendBudget(SendBudgetSettings settings, DoubleSupplier fleetShare, MonotonicClock clock) {
     this.settings = settings;
+    this.fleetShare = fleetShare;
     this.clock = clock;
     this.bucketNanos = settings.window().toNanos() / BUCKETS;
   }
@@ -35,14 +44,13 @@
    * Consumes one retry if the budget allows it.
    *
    * @param service the service
-   * @param daemons the number of daemons that share the budget, this one included
    * @return whether the retry is allowed
    */
-  public boolean tryRetry(String service, int daemons) {
+  public boolean tryRetry(String service) {
     Window window = window(service);
     double allowed =
         settings.ratio() * window.sum(window.firstSends)
-            + settings.extraSends() / Math.max(1, daemons);
+            + settings.extraSends() * fleetShare.getAsDouble();
     if (window.sum(window.retries) + 1 > allowed) {
       return false;
     }
@@ -53,7 +61,10 @@
   /** Returns what was sent to a service in the window that ends now. */
   public Usage usage(String service) {
     Window window = window(service);
-    return new Usage(window.sum(window.firstSends), window.sum(window.retries));
+    return new Usage(
+        window.sum(window.firstSends),
+        window.sum(window.retries),
+        settings.extraSends() * fleetShare.getAsDouble());
   }
 
   /**
@@ -61,8 +72,9 @@
    *
    * @param firstSends the first sends of calls
    * @param retries the retries, those that were lent to other daemons included
+   * @param fixedRetries the retries that this daemon may send beyond the share of its first sends
    */
-  public record Usage(int firstSends, int retries) {}
+  public record Usage(int firstSends, int retries, double fixedRetries) {}
 
   private Window window(String service) {
     long bucket = Math.floorDiv(clock.nanos(), bucketNanos);
--- a/core/src/test/java/org/galenapost/core/dispatch/RetryLoansTest.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/RetryLoansTest.java
@@ -30,9 +30,12 @@
   RetryLoansTest() {
     for (int i = 0; i < DAEMONS; i++) {
       SendBudget budget =
-          new SendBudget(new SendBudgetSettings(RATIO, Duration.ofSeconds(10), EXTRA_SENDS), time);
+          new SendBudget(
+              new SendBudgetSettings(RATIO, Duration.ofSeconds(10), EXTRA_SENDS),
+              () -> 1.0 / DAEMONS,
+              time);
       budgets.add(budget);
-      loans.add(new RetryLoans(budget, network.join("d" + i), time, () -> DAEMONS, () -> 0.5));
+      loans.add(new RetryLoans(budget, network.join("d" + i), time, () -> 0.5));
       for (int call = 0; call < STREAMS_PER_DAEMON; call++) {
         budget.onFirstSend(SERVICE);
       }
@@ -83,7 +86,7 @@
 
   /** Retries a call and returns whether the daemon's own share allowed it. */
   private boolean retry(int daemon) {
-    if (budgets.get(daemon).tryRetry(SERVICE, DAEMONS)) {
+    if (budgets.get(daemon).tryRetry(SERVICE)) {
       retries++;
       return true;
     }
--- a/core/src/test/java/org/galenapost/core/dispatch/SendBudgetProperties.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/SendBudgetProperties.java
@@ -24,7 +24,7 @@
     VirtualTime time = new VirtualTime();
     List<SendBudget> budgets = new ArrayList<>();
     for (int i = 0; i < daemons; i++) {
-      budgets.add(new SendBudget(SETTINGS, time));
+      budgets.add(new SendBudget(SETTINGS, () -> 1.0 / daemons, time));
     }
     int calls = 0;
     int retries = 0;
@@ -34,7 +34,7 @@
         budget.onFirstSend("s");
         calls++;
       }
-      while (budget.tryRetry("s", daemons)) {
+      while (budget.tryRetry("s")) {
         retries++;
       }
     }
@@ -45,15 +45,15 @@
   @Property(tries = 1)
   void allowsRetriesAgainAfterTheWindow() {
     VirtualTime time = new VirtualTime();
-    SendBudget budget = new SendBudget(SETTINGS, time);
+    SendBudget budget = new SendBudget(SETTINGS, () -> 1, time);
     for (int i = 0; i < 30; i++) {
-      assertThat(budget.tryRetry("s", 1)).isTrue();
+      assertThat(budget.tryRetry("s")).isTrue();
     }
-    assertThat(budget.tryRetry("s", 1)).isFalse();
-    assertThat(budget.tryRetry("other", 1)).isTrue();
+    assertThat(budget.tryRetry("s")).isFalse();
+    assertThat(budget.tryRetry("other")).isTrue();
 
     time.advance(WINDOW.plusMillis(500));
 
-    assertThat(budget.tryRetry("s", 1)).isTrue();
+    assertThat(budget.tryRetry("s")).isTrue();
   }
 }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -21,6 +21,7 @@
 import org.galenapost.core.configuration.FollowSettings;
 import org.galenapost.core.configuration.StartCheck;
 import org.galenapost.core.configuration.WatchAssignment;
+import org.galenapost.core.dispatch.FleetShare;
 import org.galenapost.core.dispatch.PlacementExplainer;
 import org.galenapost.core.dispatch.RetryLoans;
 import org.galenapost.core.dispatch.ReturnDelay;
@@ -102,6 +103,7 @@
   private final ObjectStore store;
   private final TcpPeerBus bus;
   private Optional<HttpListener> callerListener = Optional.empty();
+  private final FleetShare retryShare;
   private HandoverWiring handover;
   private PlacementExplainer placementExplainer;
   private LongSupplier useAgeMs;
@@ -121,6 +123,8 @@
             settings.platform(), new PlatformCircuitBreaker(clock), eventLoops.group());
     this.store = adapter.objectStore(client);
     this.bus = new TcpPeerBus(settings.daemon().id(), settings.peer(), eventLoops.group());
+    this.retryShare =
+        new FleetShare(clock, settings.repeats().window(), () -> bus.livePeerIds().size() + 1);
   }
 
   /** Builds a gateway that binds every address when it starts. */
@@ -303,7 +307,6 @@
     handover = handoverWiring(directory, probes, cellBus, servers, state);
     PromptPartQuarantine partQuarantine = promptPartQuarantine();
     SendBudget budget = sendBudget();
-    IntSupplier liveDaemonCount = () -> bus.livePeerIds().size() + 1;
     ServerConnectionPool pool = serverConnectionPool();
     services.addAll(servers.services());
     placementExplainer = servers.placementExplainer();
@@ -334,7 +337,7 @@
         tickets,
         servers.statusBroadcaster(),
         budget,
-        new RetryLoans(budget, cellBus, scheduler, liveDaemonCount, random::nextDouble),
+        new RetryLoans(budget, cellBus, scheduler, random::nextDouble),
         requestQuarantine(partQuarantine),
         partQuarantine,
         stallGuard,
@@ -343,8 +346,7 @@
         servers.roomQueue(),
         new GatewayMeters(metrics.registry()),
         rollouts.rollouts(),
-        state::refusesNewRequests,
-        liveDaemonCount);
+        state::refusesNewRequests);
   }
 
   private StreamOriginWiring streamOriginWiring(
@@ -357,7 +359,11 @@
         new StreamOriginWiring(
             settings, bus, store, directory, routes, follower, reachability, scheduler, clock);
     if (settings.platform().isFirstStart()) {
-      registration.setOnFirstRegistration(streams.records()::confirmFirstStart);
+      registration.setOnFirstRegistration(
+          () -> {
+            streams.records().confirmFirstStart();
+            retryShare.confirmFirstStart();
+          });
     }
     streams.addGauges(metrics);
     services.addAll(streams.services());
@@ -440,8 +446,10 @@
 
   private SendBudget sendBudget() {
     RepeatSettings repeats = settings.repeats();
+    metrics.registerGauge("galenapost.gateway.retry.share", retryShare::part);
     return new SendBudget(
         new SendBudget.SendBudgetSettings(repeats.ratio(), repeats.window(), repeats.extraSends()),
+        retryShare::part,
         clock);
   }
 
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallLog.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallLog.java
@@ -1,6 +1,7 @@
 package org.galenapost.daemon.gateway.run;
 
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Optional;
 import org.galenapost.core.dispatch.SendBudget;
 import org.galenapost.core.instance.ServerInstance;
@@ -29,7 +30,6 @@
         .with("service", call.service().name())
         .with("send", sendNumber)
         .with("repeat", cause.map(RetryCause::logName).orElse("no"))
-        .with("live_daemons", context.liveDaemonCount().getAsInt())
         .with("server", plan.instance().key().text())
         .with("server_version", plan.instance().softwareVersion())
         .with("resumes", call.head().resumedStreamId().orElse("-"))
@@ -100,7 +100,7 @@
         .with("service", call.service().name())
         .with("first_sends", usage.firstSends())
         .with("spent", usage.retries())
-        .with("live_daemons", context.liveDaemonCount().getAsInt())
+        .with("fixed", String.format(Locale.ROOT, "%.2f", usage.fixedRetries()))
         .write();
   }
 
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallRetries.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallRetries.java
@@ -99,8 +99,7 @@
 
   /** Acquires a retry of this daemon's own share, if the call may be sent again at all. */
   boolean tryAcquire() {
-    return isWithinLimits()
-        && context.budget().tryRetry(call.service().name(), context.liveDaemonCount().getAsInt());
+    return isWithinLimits() && context.budget().tryRetry(call.service().name());
   }
 
   /**
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/GatewayContext.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/GatewayContext.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
-import java.util.function.IntSupplier;
 import org.galenapost.core.dispatch.BrittleServers;
 import org.galenapost.core.dispatch.InstanceChooser;
 import org.galenapost.core.dispatch.InstanceHealth;
@@ -72,7 +71,6 @@
  * @param meters counts and times calls
  * @param rollouts decides which versions a call may go to; empty if every version may
  * @param isEnding returns whether this daemon ends, so that calls that wait go to others
- * @param liveDaemonCount returns the number of live daemons, including this one
  */
 public record GatewayContext(
     String daemonId,
@@ -109,5 +107,4 @@
     RoomQueue roomQueue,
     GatewayMeters meters,
     Optional<Rollouts> rollouts,
-    BooleanSupplier isEnding,
-    IntSupplier liveDaemonCount) {}
+    BooleanSupplier isEnding) {}
