Share the fixed repeats with daemons that may only be cut off

Servers got more repeats than the fleet may send (BUDGET) while daemons do not see the whole fleet.

Cause: each daemon divided the fixed repeats by the daemons that it saw as live at the moment. Two sides of a partition divided them among half of the fleet each; what lost daemons had just sent was handed out again; a daemon that knew nobody yet took all of them.

Change: the divisor counts each daemon that was live within the last two minutes, the time for which the membership remembers lost ones; while no other daemon is known and the store has not listed them, the share is 0. Cost: the shares of lost daemons lie idle for these two minutes.

RetryWiring takes the construction of budget and loans out of GatewayBuilder.

--- a/core/src/main/java/org/galenapost/core/dispatch/FleetShare.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/FleetShare.java
@@ -1,7 +1,8 @@
 package org.galenapost.core.dispatch;
 
 import java.time.Duration;
-import java.util.function.IntSupplier;
+import java.util.OptionalInt;
+import java.util.function.Supplier;
 import org.galenapost.core.time.MonotonicClock;
 
 /**
@@ -16,7 +17,7 @@
   private static final Duration JOIN_TIME = Duration.ofSeconds(2);
 
   private final MonotonicClock clock;
-  private final IntSupplier daemonCount;
+  private final Supplier<OptionalInt> daemonCount;
   private long usableFromNanos;
 
   /**
@@ -24,9 +25,10 @@
    *
    * @param clock measures the time since the start
    * @param window the window in which the shared number may be used once
-   * @param daemonCount returns the number of daemons that share it, this one included
+   * @param daemonCount returns the number of daemons that may use a part of it, this one included;
+   *     empty while it is not known
    */
-  public FleetShare(MonotonicClock clock, Duration window, IntSupplier daemonCount) {
+  public FleetShare(MonotonicClock clock, Duration window, Supplier<OptionalInt> daemonCount) {
     this.clock = clock;
     this.daemonCount = daemonCount;
     this.usableFromNanos = clock.nanos() + window.plus(JOIN_TIME).toNanos();
@@ -40,6 +42,7 @@
   /** Returns the part that this daemon may use now, from 0 to 1. */
   public double part() {
     boolean isUsable = clock.nanos() - usableFromNanos >= 0;
-    return isUsable ? 1.0 / Math.max(1, daemonCount.getAsInt()) : 0;
+    OptionalInt daemons = daemonCount.get();
+    return isUsable && daemons.isPresent() ? 1.0 / Math.max(1, daemons.getAsInt()) : 0;
   }
 }
--- a/core/src/main/java/org/galenapost/core/membership/HeartbeatMembership.java
+++ b/core/src/main/java/org/galenapost/core/membership/HeartbeatMembership.java
@@ -304,6 +304,11 @@
     return liveIds;
   }
 
+  @Override
+  public synchronized int recentlyLiveCount(Duration time) {
+    return table.recentlyLiveCount(time, clock.nanos());
+  }
+
   @Override
   public synchronized List<MemberRecord> members() {
     return table.records();
--- a/core/src/main/java/org/galenapost/core/membership/MemberTable.java
+++ b/core/src/main/java/org/galenapost/core/membership/MemberTable.java
@@ -63,6 +63,16 @@
         .collect(Collectors.toUnmodifiableSet());
   }
 
+  int recentlyLiveCount(Duration time, long nowNanos) {
+    return (int)
+        entriesById.values().stream()
+            .filter(
+                entry ->
+                    entry.record().status().isLive()
+                        || nowNanos - entry.sinceNanos() <= time.toNanos())
+            .count();
+  }
+
   /** Restarts the suspicion timeout of every suspected daemon. */
   void restartSuspicions(long nowNanos) {
     for (Entry entry : new ArrayList<>(withStatus(MemberStatus.SUSPECTED))) {
--- a/core/src/main/java/org/galenapost/core/membership/Membership.java
+++ b/core/src/main/java/org/galenapost/core/membership/Membership.java
@@ -1,5 +1,6 @@
 package org.galenapost.core.membership;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import org.galenapost.core.platform.Host;
@@ -22,6 +23,12 @@
   /** Returns the ids of the other live daemons. */
   Set<String> liveIds();
 
+  /**
+   * Returns the number of other daemons that are live or were so within the given time. A daemon
+   * that is only cut off from this one looks like one that was lost.
+   */
+  int recentlyLiveCount(Duration time);
+
   /** Returns the records of all other known daemons. */
   List<MemberRecord> members();
 }
--- a/core/src/test/java/org/galenapost/core/dispatch/RestartedDaemonRetriesTest.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/RestartedDaemonRetriesTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.OptionalInt;
 import java.util.stream.IntStream;
 import org.galenapost.core.dispatch.SendBudget.SendBudgetSettings;
 import org.galenapost.core.testing.VirtualTime;
@@ -64,7 +65,7 @@
   }
 
   private FleetShare share() {
-    return new FleetShare(time, WINDOW, () -> DAEMONS);
+    return new FleetShare(time, WINDOW, () -> OptionalInt.of(DAEMONS));
   }
 
   private SendBudget budget(FleetShare share) {
--- a/core/src/test/java/org/galenapost/core/membership/MembershipSimulation.java
+++ b/core/src/test/java/org/galenapost/core/membership/MembershipSimulation.java
@@ -107,6 +107,14 @@
         .toList();
   }
 
+  Membership membershipOf(String id) {
+    return nodes.get(id).membership;
+  }
+
+  VirtualTime time() {
+    return time;
+  }
+
   long sentMessages() {
     return sentMessages;
   }
--- a/daemon/src/main/java/org/galenapost/daemon/controller/MembershipController.java
+++ b/daemon/src/main/java/org/galenapost/daemon/controller/MembershipController.java
@@ -99,6 +99,12 @@
     return current == null ? Set.of() : current.liveIds();
   }
 
+  /** Returns the number of other daemons that are live or were so within the given time. */
+  public int recentlyLiveCount(Duration time) {
+    Membership current = membership;
+    return current == null ? 0 : current.recentlyLiveCount(time);
+  }
+
   /** Returns the known state of the other daemons. */
   public Collection<MemberRecord> members() {
     Membership current = membership;
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/GatewayBuilder.java
@@ -21,11 +21,8 @@
 import org.galenapost.core.configuration.FollowSettings;
 import org.galenapost.core.configuration.StartCheck;
 import org.galenapost.core.configuration.WatchAssignment;
-import org.galenapost.core.dispatch.FleetShare;
 import org.galenapost.core.dispatch.PlacementExplainer;
-import org.galenapost.core.dispatch.RetryLoans;
 import org.galenapost.core.dispatch.ReturnDelay;
-import org.galenapost.core.dispatch.SendBudget;
 import org.galenapost.core.instance.InstanceDirectory;
 import org.galenapost.core.membership.HeartbeatMembership;
 import org.galenapost.core.membership.MemberRecord;
@@ -66,7 +63,6 @@
 import org.galenapost.daemon.platform.PlatformHttpClient;
 import org.galenapost.daemon.service.Service;
 import org.galenapost.daemon.settings.GatewaySettings;
-import org.galenapost.daemon.settings.RepeatSettings;
 import org.galenapost.daemon.time.EventLoopScheduler;
 
 /** Builds a gateway from its settings; nothing runs before it is started. */
@@ -103,7 +99,7 @@
   private final ObjectStore store;
   private final TcpPeerBus bus;
   private Optional<HttpListener> callerListener = Optional.empty();
-  private final FleetShare retryShare;
+  private RetryWiring retries;
   private HandoverWiring handover;
   private PlacementExplainer placementExplainer;
   private LongSupplier useAgeMs;
@@ -123,8 +119,6 @@
             settings.platform(), new PlatformCircuitBreaker(clock), eventLoops.group());
     this.store = adapter.objectStore(client);
     this.bus = new TcpPeerBus(settings.daemon().id(), settings.peer(), eventLoops.group());
-    this.retryShare =
-        new FleetShare(clock, settings.repeats().window(), () -> bus.livePeerIds().size() + 1);
   }
 
   /** Builds a gateway that binds every address when it starts. */
@@ -175,12 +169,12 @@
             settings.daemon().id(), bus::livePeerIds, directory, GatewayLog::cellChanged);
     MembershipController membership = membershipController(stallGuard);
     RegistrationController registration = registrationController(membership);
+    retries = new RetryWiring(settings.repeats(), MEMBERSHIP, membership, registration, clock);
     ConfigurationFollower follower =
         configurationFollower(
             configuration, cells, reachability, () -> knownPeerCount(registration));
     DaemonState state = new DaemonState(() -> follower.isReady() && routes.current().isPresent());
     services.addAll(List.of(eventLoops, client, bus, stallGuard, membership, registration));
-    metrics.registerGauge("galenapost.peers.live", () -> membership.liveIds().size());
     services.add(Service.of("configuration", follower::start, follower::stop));
     StreamOriginWiring streams =
         streamOriginWiring(directory, routes, follower, reachability, registration);
@@ -262,14 +256,17 @@
   }
 
   private MembershipController membershipController(EventLoopStallGuard stallGuard) {
-    return new MembershipController(
-        settings.daemon(),
-        bus,
-        self -> heartbeatMembership(stallGuard, self),
-        MEMBERSHIP.period(),
-        InstantSource.system(),
-        scheduler,
-        random::nextDouble);
+    MembershipController membership =
+        new MembershipController(
+            settings.daemon(),
+            bus,
+            self -> heartbeatMembership(stallGuard, self),
+            MEMBERSHIP.period(),
+            InstantSource.system(),
+            scheduler,
+            random::nextDouble);
+    metrics.registerGauge("galenapost.peers.live", () -> membership.liveIds().size());
+    return membership;
   }
 
   private RegistrationController registrationController(MembershipController membership) {
@@ -306,7 +303,6 @@
     ConnectProbes probes = new ConnectProbes(loop, serverAddresses);
     handover = handoverWiring(directory, probes, cellBus, servers, state);
     PromptPartQuarantine partQuarantine = promptPartQuarantine();
-    SendBudget budget = sendBudget();
     ServerConnectionPool pool = serverConnectionPool();
     services.addAll(servers.services());
     placementExplainer = servers.placementExplainer();
@@ -336,8 +332,8 @@
         handover.peers(),
         tickets,
         servers.statusBroadcaster(),
-        budget,
-        new RetryLoans(budget, cellBus, scheduler, random::nextDouble),
+        retries.budget(),
+        retries.loans(cellBus, scheduler, random::nextDouble),
         requestQuarantine(partQuarantine),
         partQuarantine,
         stallGuard,
@@ -362,7 +358,7 @@
       registration.setOnFirstRegistration(
           () -> {
             streams.records().confirmFirstStart();
-            retryShare.confirmFirstStart();
+            retries.confirmFirstStart();
           });
     }
     streams.addGauges(metrics);
@@ -444,15 +440,6 @@
     return quarantine;
   }
 
-  private SendBudget sendBudget() {
-    RepeatSettings repeats = settings.repeats();
-    metrics.registerGauge("galenapost.gateway.retry.share", retryShare::part);
-    return new SendBudget(
-        new SendBudget.SendBudgetSettings(repeats.ratio(), repeats.window(), repeats.extraSends()),
-        retryShare::part,
-        clock);
-  }
-
   private void addGauges(
       CallerFrontend frontend,
       InstanceDirectory directory,
@@ -467,6 +454,7 @@
     metrics.registerGauge("galenapost.gateway.heads.refused", heads::refusedCount);
     metrics.registerGauge("galenapost.gateway.heads.evicted", heads::evictedCount);
     metrics.registerGauge("galenapost.gateway.instances", directory::size);
+    metrics.registerGauge("galenapost.gateway.retry.share", retries::share);
     metrics.registerGauge(
         "galenapost.gateway.answer.bytes.held", context.answerBuffers()::totalBytes);
     metrics.registerGauge(
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/RegistrationController.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/RegistrationController.java
@@ -94,6 +94,11 @@
     return otherDaemonCount;
   }
 
+  /** Returns whether the registered daemons have been listed since the start. */
+  boolean isListed() {
+    return otherDaemonCount != Integer.MAX_VALUE;
+  }
+
   /**
    * Sets the action that runs if the store holds no entry of an earlier process of this daemon when
    * it registers for the first time.
--- a/scenarios/src/main/java/org/galenapost/scenarios/naive/HostListMembership.java
+++ b/scenarios/src/main/java/org/galenapost/scenarios/naive/HostListMembership.java
@@ -1,5 +1,6 @@
 package org.galenapost.scenarios.naive;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -47,6 +48,11 @@
     return members.stream().map(MemberRecord::id).collect(Collectors.toUnmodifiableSet());
   }
 
+  @Override
+  public int recentlyLiveCount(Duration time) {
+    return members.size();
+  }
+
   @Override
   public List<MemberRecord> members() {
     return members;
