Count repeats for the whole window of the budget

Servers could get up to twice the repeats of a budget in one window (BUDGET): a burst at its beginning and one at its end.

Cause: a window of 20 buckets forgot a repeat as its bucket was used again, after 9.5 to 10 s of 10.

Change: repeats count for 10 to 10.1 s, first sends for 9.9 to 10 s, in buckets of a hundredth of the window, so that neither end of the window gives repeats away and a repeat is refused at most a hundredth of the window too long.

--- a/core/src/main/java/org/galenapost/core/dispatch/SendBudget.java
+++ b/core/src/main/java/org/galenapost/core/dispatch/SendBudget.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.DoubleSupplier;
+import java.util.stream.IntStream;
 import org.galenapost.core.time.MonotonicClock;
 
 /**
@@ -13,7 +14,7 @@
  */
 public final class SendBudget {
 
-  private static final int BUCKETS = 20;
+  private static final int BUCKETS_PER_WINDOW = 100;
 
   private final SendBudgetSettings settings;
   private final DoubleSupplier fleetShare;
@@ -32,7 +33,7 @@
     this.settings = settings;
     this.fleetShare = fleetShare;
     this.clock = clock;
-    this.bucketNanos = settings.window().toNanos() / BUCKETS;
+    this.bucketNanos = settings.window().toNanos() / BUCKETS_PER_WINDOW;
   }
 
   /** Records the first send of a call. */
@@ -48,10 +49,8 @@
    */
   public boolean tryRetry(String service) {
     Window window = window(service);
-    double allowed =
-        settings.ratio() * window.sum(window.firstSends)
-            + settings.extraSends() * fleetShare.getAsDouble();
-    if (window.sum(window.retries) + 1 > allowed) {
+    double allowed = settings.ratio() * window.firstSendCount() + fixedRetries();
+    if (window.retryCount() + 1 > allowed) {
       return false;
     }
     window.add(1, 0);
@@ -61,10 +60,11 @@
   /** Returns what was sent to a service in the window that ends now. */
   public Usage usage(String service) {
     Window window = window(service);
-    return new Usage(
-        window.sum(window.firstSends),
-        window.sum(window.retries),
-        settings.extraSends() * fleetShare.getAsDouble());
+    return new Usage(window.firstSendCount(), window.retryCount(), fixedRetries());
+  }
+
+  private double fixedRetries() {
+    return settings.extraSends() * fleetShare.getAsDouble();
   }
 
   /**
@@ -83,9 +83,14 @@
     return window;
   }
 
-  /** The counts of a sliding window, in buckets of equal length. */
+  /**
+   * The counts of a sliding window, in buckets of equal length. The window begins inside of its
+   * oldest bucket, whose retries count and whose first sends do not.
+   */
   private static final class Window {
 
+    private static final int BUCKETS = BUCKETS_PER_WINDOW + 1;
+
     private final int[] firstSends = new int[BUCKETS];
     private final int[] retries = new int[BUCKETS];
     private long currentBucket;
@@ -110,12 +115,13 @@
       firstSends[index] += addedFirstSends;
     }
 
-    int sum(int[] counts) {
-      int total = 0;
-      for (int count : counts) {
-        total += count;
-      }
-      return total;
+    int firstSendCount() {
+      int oldest = Math.floorMod(currentBucket + 1, BUCKETS);
+      return IntStream.of(firstSends).sum() - firstSends[oldest];
+    }
+
+    int retryCount() {
+      return IntStream.of(retries).sum();
     }
   }
 
