Count sends of daemons that took a call over in vain

Servers got repeats that no daemon counted (BUDGET): one call reached them three times with a budget of no repeats.

Cause: a daemon that reaches no server hands a call over. If the other one sent it, was refused by the servers and had no budget left, it refused the call as not run, and the first daemon handed it to the next one, whose send counted as a first send again. After a daemon was lost with the call, too, the next first send was counted a second time.

Change: the refusal of a handed-over call says whether it was sent to a server. If so, going on needs the retry budget, and the first send is known to be counted. A refusal without a send goes on freely, as before; daemons of the version before say nothing and count as not having sent.

--- a/daemon/src/main/java/org/galenapost/daemon/gateway/call/HandoverTickets.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/call/HandoverTickets.java
@@ -19,6 +19,8 @@
 
   private static final AsciiString HEADER = AsciiString.cached("Galenapost-Handover");
   private static final AsciiString NOT_RUN_HEADER = AsciiString.cached("Galenapost-Not-Run");
+  private static final AsciiString NOT_SENT = AsciiString.cached("not-sent");
+  private static final AsciiString SENT = AsciiString.cached("sent");
   private static final String ALGORITHM = "HmacSHA256";
   private static final String SEPARATOR = ".";
 
@@ -40,9 +42,14 @@
     return headers.contains(HEADER);
   }
 
-  /** States in the response to a handed-over call that no server ran it. */
-  public static void markNotRun(HttpHeaders headers) {
-    headers.set(NOT_RUN_HEADER, "1");
+  /**
+   * States in the response to a handed-over call that no server ran it.
+   *
+   * @param headers the headers of the response
+   * @param wasSent whether the call was sent to a server, which refused it
+   */
+  public static void markNotRun(HttpHeaders headers, boolean wasSent) {
+    headers.set(NOT_RUN_HEADER, wasSent ? SENT : NOT_SENT);
   }
 
   /** Removes the statement that no server ran the call, which only a daemon may make. */
@@ -55,6 +62,11 @@
     return headers.contains(NOT_RUN_HEADER);
   }
 
+  /** Returns whether that daemon sent the call to a server, which refused it. */
+  public static boolean isMarkedSent(HttpHeaders headers) {
+    return headers.contains(NOT_RUN_HEADER, SENT, false);
+  }
+
   /** Removes the ticket from a request and returns it if it is valid for the call. */
   public Optional<HandoverTicket> take(String callId, HttpHeaders headers) {
     String value = headers.get(HEADER);
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerConnection.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerConnection.java
@@ -135,7 +135,7 @@
 
   private void refuse(CallerExchange exchange, Refusal refusal, String callId) {
     frontend.recordRefusal(refusal, callId);
-    exchange.writeRefusal(refusal);
+    exchange.writeRefusal(refusal, false);
   }
 
   /** Ends the call only now, so that a daemon that stops waits for responses on their way. */
@@ -215,7 +215,7 @@
             RefusalHeaders.NONE,
             frontend::isDraining,
             staysOpen -> context.close());
-    exchange.writeRefusal(refusal);
+    exchange.writeRefusal(refusal, false);
   }
 
   private static Refusal refusalOf(ConnectionFault fault) {
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerExchange.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/CallerExchange.java
@@ -82,7 +82,7 @@
   }
 
   @Override
-  public void writeRefusal(Refusal refusal) {
+  public void writeRefusal(Refusal refusal, boolean wasSent) {
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
     HttpHeaders headers = response.headers();
@@ -90,7 +90,7 @@
     refusal
         .retryAfter()
         .ifPresent(delay -> headers.set(HttpHeaderNames.RETRY_AFTER, toSeconds(delay)));
-    refusalHeaders.add(refusal, headers);
+    refusalHeaders.add(refusal, wasSent, headers);
     String document = Json.write(ProblemDocument.of(refusal, callId));
     response.release();
     writeFullResponse(
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/RefusalHeaders.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/RefusalHeaders.java
@@ -8,8 +8,14 @@
 interface RefusalHeaders {
 
   /** The refusals of a caller's request have no further headers. */
-  RefusalHeaders NONE = (refusal, headers) -> {};
+  RefusalHeaders NONE = (refusal, wasSent, headers) -> {};
 
-  /** Adds the headers of a refusal. */
-  void add(Refusal refusal, HttpHeaders headers);
+  /**
+   * Adds the headers of a refusal.
+   *
+   * @param refusal the refusal
+   * @param wasSent whether the call was sent to a server
+   * @param headers the headers of the response
+   */
+  void add(Refusal refusal, boolean wasSent, HttpHeaders headers);
 }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/front/RequestValidator.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/front/RequestValidator.java
@@ -93,10 +93,10 @@
       return RefusalHeaders.NONE;
     }
     String callId = idOf(request);
-    return (refusal, headers) -> {
+    return (refusal, wasSent, headers) -> {
       format.writeCallId(callId, headers);
       if (refusal.verdict() == Verdict.NOT_RUN) {
-        HandoverTickets.markNotRun(headers);
+        HandoverTickets.markNotRun(headers, wasSent);
       }
     };
   }
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallRetries.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallRetries.java
@@ -70,6 +70,17 @@
     lastCause = Optional.of(RetryCause.REFUSED);
   }
 
+  /** Records that another daemon sent the call, and refused it since no server took it. */
+  void recordRefusedHandover() {
+    isFirstSendCounted = true;
+    recordRefusal();
+  }
+
+  /** Records that the daemon that took the call over was lost and may have sent it. */
+  void recordLostHandover() {
+    isFirstSendCounted = true;
+  }
+
   /**
    * Records that no connection could be opened, which costs the servers nothing and does not use
    * the retry budget.
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallRun.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/CallRun.java
@@ -11,6 +11,7 @@
 import org.galenapost.core.time.Scheduler;
 import org.galenapost.core.verdict.Refusal;
 import org.galenapost.core.verdict.RefusalReason;
+import org.galenapost.daemon.gateway.call.HandoverTickets;
 import org.galenapost.daemon.gateway.call.ResponseHead;
 import org.galenapost.daemon.gateway.upstream.SendFailure;
 
@@ -216,7 +217,7 @@
     sender.releaseIsolation(attempt);
     log.logSendRefused(attempt, head);
     if (attempt.plan().isHandover()) {
-      dispatch();
+      onHandoverRefused(head);
       return;
     }
     context.meters().recordServerRefusal(head.isMisdirected());
@@ -227,9 +228,17 @@
       context.brittleServers().onRefused(attempt.instance().key());
     }
     retries.recordRefusal();
-    retryOrReject(
-        this::dispatch,
-        Refusal.notRun(RefusalReason.QUEUE_FULL, "the servers of the service take no more"));
+    retryOrReject(this::dispatch, CallRefusals.noRoom());
+  }
+
+  /** Goes on with a call that another daemon refused, as a retry if it had sent the call. */
+  private void onHandoverRefused(ResponseHead head) {
+    if (HandoverTickets.isMarkedSent(head.headers())) {
+      retries.recordRefusedHandover();
+      retryOrReject(this::dispatch, CallRefusals.noRoom());
+    } else {
+      dispatch();
+    }
   }
 
   @Override
@@ -279,11 +288,12 @@
       dispatch();
       return;
     }
+    retries.recordLostHandover();
     recordLostRun(failure);
     if (!call.route().allowsRetry()) {
       reject(Refusal.mayHaveRun(RefusalReason.SERVER_LOST, "the answer did not arrive whole"));
     } else if (attempt.eventCount() == 0) {
-      retryOrReject(this::dispatch, lostHandover());
+      retryOrReject(this::dispatch, CallRefusals.lostHandover());
     } else {
       binding.find(this::retryHandedOverStream);
     }
@@ -294,16 +304,12 @@
       return;
     }
     if (isVersionKnown) {
-      retryOrReject(this::dispatch, lostHandover());
+      retryOrReject(this::dispatch, CallRefusals.lostHandover());
     } else {
-      reject(lostHandover());
+      reject(CallRefusals.lostHandover());
     }
   }
 
-  private static Refusal lostHandover() {
-    return Refusal.mayHaveRun(RefusalReason.SERVER_LOST, "the daemon that ran the call was lost");
-  }
-
   private void retryLostRun(Attempt attempt) {
     if (isEnded) {
       return;
@@ -392,10 +398,7 @@
     if (head.promisesNotRun()) {
       log.logErrorResponse(attempt, head);
       body.release();
-      reject(
-          Refusal.mayHaveRun(
-              RefusalReason.SERVER_FAILED,
-              "the server answered " + head.status() + " and may have run the call"));
+      reject(CallRefusals.failedServer(head.status()));
       return;
     }
     if (end()) {
@@ -473,7 +476,7 @@
     if (relay.hasStarted()) {
       caller.abort();
     } else {
-      caller.writeRefusal(finalRefusal);
+      caller.writeRefusal(finalRefusal, retries.isFirstSendCounted());
     }
   }
 
--- a/daemon/src/main/java/org/galenapost/daemon/gateway/run/GatewayResponseWriter.java
+++ b/daemon/src/main/java/org/galenapost/daemon/gateway/run/GatewayResponseWriter.java
@@ -12,8 +12,13 @@
   /** Writes a server's complete response; takes ownership of the body. */
   void writeResponse(ResponseHead head, ByteBuf body);
 
-  /** Writes a refusal instead of a server's response. */
-  void writeRefusal(Refusal refusal);
+  /**
+   * Writes a refusal instead of a server's response.
+   *
+   * @param refusal the refusal
+   * @param wasSent whether the call was sent to a server
+   */
+  void writeRefusal(Refusal refusal, boolean wasSent);
 
   /** Starts a stream with the response head of its first server. */
   void startStream(ResponseHead head);
