Let the fleet of the test use its fixed repeats before it starts again

RestartedDaemonRetriesTest had no first process that uses the share, so it did not show that the earlier one and its successors add up to the limit.

--- a/core/src/test/java/org/galenapost/core/dispatch/RestartedDaemonRetriesTest.java
+++ b/core/src/test/java/org/galenapost/core/dispatch/RestartedDaemonRetriesTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.OptionalInt;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.galenapost.core.dispatch.SendBudget.SendBudgetSettings;
 import org.galenapost.core.testing.VirtualTime;
@@ -24,10 +25,10 @@
   @Test
   void fleetThatStartsAgainDoesNotSendItsFixedRetriesTwice() {
     int lives = 4;
-    int retries = 0;
-    for (int life = 0; life < lives; life++) {
-      retries += retriesOfAllDaemons();
+    int retries = retriesOfAllDaemons(FleetShare::confirmFirstStart);
+    for (int life = 1; life < lives; life++) {
       time.advance(Duration.ofSeconds(2));
+      retries += retriesOfAllDaemons(share -> {});
     }
 
     double limit = RATIO * lives * DAEMONS * CALLS_PER_LIFE + EXTRA_SENDS;
@@ -51,11 +52,13 @@
     assertThat(retries(budget(share))).isEqualTo((int) EXTRA_SENDS / DAEMONS);
   }
 
-  private int retriesOfAllDaemons() {
+  private int retriesOfAllDaemons(Consumer<FleetShare> onStart) {
     return IntStream.range(0, DAEMONS)
         .map(
             daemon -> {
-              SendBudget budget = budget(share());
+              FleetShare share = share();
+              onStart.accept(share);
+              SendBudget budget = budget(share);
               for (int call = 0; call < CALLS_PER_LIFE; call++) {
                 budget.onFirstSend(SERVICE);
               }
